--- /dev/null
+++ b/cmd/agategate/main.go
@@ -0,0 +1,4 @@
+// Command agategate steers requests between callers and upstreams.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/agatering/ring_test.go
@@ -0,0 +1,26 @@
+package agatering_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"agategate/core/agatering"
+)
+
+// A full ring must refuse instead of blocking the duty that sends.
+func TestFullRingRefuses(t *testing.T) {
+	r := agatering.New[int](agatering.Config{Size: 2})
+	assert.Assert(t, r.Offer(1))
+	assert.Assert(t, r.Offer(2))
+	assert.Assert(t, !r.Offer(3))
+	assert.Equal(t, r.Dropped(), uint64(1))
+	assert.Equal(t, <-r.Items(), 1)
+	assert.Assert(t, r.Offer(4))
+	r.Close()
+	var got []int
+	for n := range r.Items() {
+		got = append(got, n)
+	}
+	assert.DeepEqual(t, got, []int{2, 4})
+}
