--- /dev/null
+++ b/core/agatequorum/follower.go
@@ -0,0 +1,76 @@
+package agatequorum
+
+// handleAppend adds entries of the leader to the log.
+func (c *Core) handleAppend(m *Message) {
+	if m.Index < c.commit {
+		// Everything committed agrees with the leader's log.
+		c.acknowledge(m, c.commit)
+		return
+	}
+	if !c.log.holds(m.Index, m.LogTerm) {
+		if m.Index == c.commit {
+			c.fail("position %d of term %d contradicts a committed entry", m.Index, m.LogTerm)
+			return
+		}
+		hint, term := c.log.conflictHint(m.Index-1, m.LogTerm)
+		c.send(Message{
+			Kind:     MessageAppendReply,
+			To:       m.From,
+			Index:    m.Index,
+			Reject:   true,
+			Hint:     hint,
+			HintTerm: term,
+			Time:     m.Time,
+		}, needHard)
+		return
+	}
+	for i, e := range m.Entries {
+		if e.Index != m.Index+uint64(i)+1 {
+			c.fail("entries of replica %d are not contiguous at %d", m.From, e.Index)
+			return
+		}
+		if c.log.holds(e.Index, e.Term) {
+			continue
+		}
+		c.replaceFrom(m.Entries[i:])
+		break
+	}
+	last := m.Index + uint64(len(m.Entries))
+	c.commit = max(c.commit, min(m.Commit, last))
+	c.acknowledge(m, last)
+}
+
+func (c *Core) replaceFrom(entries []Entry) {
+	first := entries[0].Index
+	if first <= c.commit {
+		c.fail("entry %d of term %d contradicts a committed entry", first, entries[0].Term)
+		return
+	}
+	if first <= c.log.last() {
+		c.log.truncate(first)
+		c.members.truncate(first)
+	}
+	c.log.append(entries...)
+	for _, e := range entries {
+		c.noteMembers(e)
+	}
+}
+
+// acknowledge tells the leader that the log is durable up to index, as soon
+// as it is.
+func (c *Core) acknowledge(m *Message, index uint64) {
+	if c.fault != nil {
+		return
+	}
+	c.send(Message{Kind: MessageAppendReply, To: m.From, Index: index, Time: m.Time}, needLog)
+}
+
+func (c *Core) handleHeartbeat(m *Message) {
+	c.commit = max(c.commit, min(m.Commit, c.log.last()))
+	c.send(Message{
+		Kind:  MessageHeartbeatReply,
+		To:    m.From,
+		Time:  m.Time,
+		Round: m.Round,
+	}, needHard)
+}
--- a/core/agatequorum/types.go
+++ b/core/agatequorum/types.go
@@ -1,4 +1,3 @@
-// Package agatequorum is a replicated log.
 package agatequorum
 
 import "net/netip"
