--- /dev/null
+++ b/core/agateroute/choose.go
@@ -0,0 +1,315 @@
+package agateroute
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"agategate/core/agateinventory"
+)
+
+const (
+	// scanLimit bounds the upstreams compared for one request, so that the
+	// cost of a choice does not grow with the size of a region.
+	scanLimit = 64
+
+	// excess is the number of requests per slot that may be in flight at one
+	// upstream over all entry hosts. Above 1, slots stay busy while answers
+	// travel and one free slot serves whoever comes first.
+	excess = 2.0
+
+	// slowFrom is the ratio to the usual latency from which an upstream counts
+	// as slower. Below it, the difference is within the noise of the mean.
+	slowFrom = 1.3
+
+	// firstExpected stands in for the latency before the first answer.
+	firstExpected = 5 * time.Millisecond
+)
+
+// pick is the result of comparing the upstreams of one group.
+type pick struct {
+	best       *upstream
+	cost       float64
+	considered int
+	busy       int // at their limit
+	away       int // kept away by drains
+	barred     int // tried before, ejected, held or running a suspect
+}
+
+// Choose decides about a new request. After Send, the caller calls Start at
+// once. After Wait, Next returns the decision later.
+func (t *Table) Choose(now time.Time, r Request) Decision {
+	s := t.services[r.Service]
+	if s == nil {
+		return Decision{Reason: ReasonUnknown, RetryAfter: t.cfg.Interval}
+	}
+	if r.Region == "" {
+		r.Region = t.cfg.Region
+	}
+	if r.Deadline.IsZero() {
+		r.Deadline = now.Add(s.deadline)
+	}
+	s.budget.request(now)
+	home := t.home(s, r.Region)
+	if home != nil {
+		home.demand.add(now, 1)
+	}
+	return t.admit(now, s, home, &r)
+}
+
+// home returns the group of a service in a region. It exists also without
+// upstreams if the inventory lists the region, so that demand is counted.
+func (t *Table) home(s *service, region string) *group {
+	if g := s.groups[region]; g != nil {
+		return g
+	}
+	known := t.inv.Service(s.name)
+	if known == nil || !slices.Contains(known.Regions, region) {
+		return nil
+	}
+	return t.group(s, region)
+}
+
+// admit sends the request, lets it wait, or refuses it.
+func (t *Table) admit(now time.Time, s *service, home *group, r *Request) Decision {
+	if !now.Before(r.Deadline) {
+		return Decision{Reason: ReasonLate}
+	}
+	hash := xxhash.Sum64String(r.ID)
+	var p pick
+	if home != nil {
+		if home.queue.empty() || r.Pinned != "" {
+			p = t.survey(now, home, r, hash)
+		} else {
+			p.busy = len(home.upstreams)
+		}
+		if d, ok := t.send(now, home, r, p, ReasonBest); ok {
+			return d
+		}
+		if d, ok := t.enqueue(now, home, r, p); ok {
+			return d
+		}
+	}
+	if d, ok := t.overflow(now, s, r, hash); ok {
+		return d
+	}
+	return t.refuse(now, home, r, p)
+}
+
+// send turns a comparison into a decision, if it found an upstream that can
+// answer in time.
+func (t *Table) send(now time.Time, g *group, r *Request, p pick, why Reason) (Decision, bool) {
+	if p.best == nil {
+		return Decision{}, false
+	}
+	expected := g.expected(p.best, p.cost)
+	if expected > r.Deadline.Sub(now) {
+		return Decision{}, false
+	}
+	if r.Pinned != "" {
+		why = ReasonPinned
+	}
+	if r.Alone {
+		p.best.alone++
+	}
+	return Decision{
+		Verdict:    Send,
+		Upstream:   p.best.id,
+		Address:    p.best.addr,
+		Region:     g.region,
+		Reason:     why,
+		Considered: p.considered,
+		Expected:   expected,
+	}, true
+}
+
+// refuse explains why a request gets no upstream.
+func (t *Table) refuse(now time.Time, home *group, r *Request, p pick) Decision {
+	d := Decision{Reason: ReasonNone, Considered: p.considered, RetryAfter: t.cfg.Interval}
+	switch {
+	case home == nil:
+	case p.best != nil:
+		d.Reason = ReasonLate
+	case p.busy > 0 && home.queue.full():
+		d.Reason = ReasonFull
+		d.RetryAfter = home.retryAfter(now, r)
+	case p.busy > 0:
+		d.Reason = ReasonAdmission
+		d.RetryAfter = home.retryAfter(now, r)
+	case p.away > 0:
+		d.Reason = ReasonDrained
+	}
+	return d
+}
+
+// overflow looks for an upstream in the other regions, the most idle first.
+// The grant is asked for last, since asking uses it up.
+func (t *Table) overflow(now time.Time, s *service, r *Request, hash uint64) (Decision, bool) {
+	if r.Pinned != "" {
+		return t.pinned(now, s, r, hash)
+	}
+	var best *group
+	lowest := t.target()
+	for _, g := range s.order {
+		if g.region == r.Region || !g.takesShift(now) {
+			continue
+		}
+		if used := (g.load() + 1) / g.slots; used <= lowest {
+			best, lowest = g, used
+		}
+	}
+	if best == nil {
+		return Decision{}, false
+	}
+	p := t.survey(now, best, r, hash)
+	d, ok := t.send(now, best, r, p, ReasonOverflow)
+	if !ok {
+		return Decision{}, false
+	}
+	if !t.cfg.Overflow(now, s.name, r.Region, best.region) {
+		if r.Alone {
+			p.best.alone--
+		}
+		return Decision{}, false
+	}
+	best.shiftOwn++
+	best.shiftAt = now
+	return d, true
+}
+
+// pinned sends a pinned request to its upstream's region, which is not a
+// shift of traffic.
+func (t *Table) pinned(now time.Time, s *service, r *Request, hash uint64) (Decision, bool) {
+	u := t.upstreams[r.Pinned]
+	if u == nil || u.group.service != s {
+		return Decision{}, false
+	}
+	return t.send(now, u.group, r, t.survey(now, u.group, r, hash), ReasonPinned)
+}
+
+// survey compares the upstreams of a group for a request.
+func (t *Table) survey(now time.Time, g *group, r *Request, hash uint64) pick {
+	v := t.view(now, g)
+	p := pick{cost: math.Inf(1)}
+	n := len(g.upstreams)
+	if n == 0 {
+		return p
+	}
+	// The start depends on the request, so that ties do not favour anyone.
+	at := int(hash % uint64(n))
+	for i := 0; i < min(n, scanLimit); i++ {
+		u := g.upstreams[at]
+		at++
+		if at == n {
+			at = 0
+		}
+		if r.Pinned != "" && u.id != r.Pinned {
+			continue
+		}
+		p.weigh(now, u, r, hash, &v)
+	}
+	return p
+}
+
+// weigh takes one upstream into the comparison.
+func (p *pick) weigh(now time.Time, u *upstream, r *Request, hash uint64, v *view) {
+	if !u.working() {
+		return
+	}
+	p.considered++
+	if u.keptAway(hash) {
+		p.away++
+		return
+	}
+	if u.barred(now, r) {
+		p.barred++
+		return
+	}
+	n := v.inFlight(u)
+	if !u.room(n, v) {
+		p.busy++
+		return
+	}
+	if c := u.cost(n, v, r.Class); c < p.cost {
+		p.best, p.cost = u, c
+	}
+}
+
+// barred reports whether an upstream must not get this request now.
+func (u *upstream) barred(now time.Time, r *Request) bool {
+	if u.held(now, r.Class) || u.eject.active(now) || (r.Alone && u.alone > 0) {
+		return true
+	}
+	for _, id := range r.Tried {
+		if id == u.id {
+			return true
+		}
+	}
+	return false
+}
+
+// room reports whether the upstream's slots, its ramp and the share of its
+// connections leave room for one more request.
+func (u *upstream) room(n float64, v *view) bool {
+	if u.own >= u.share {
+		return false
+	}
+	if !u.ramp.warm && float64(u.own+u.peers) >= u.ramp.open {
+		return false
+	}
+	limit := u.slots * excess
+	// A host below its part of the limit may send, whatever its peers report.
+	return n+1 <= limit || float64(u.own+1) <= limit/v.hosts
+}
+
+// cost is the expected time to answer in units of the group's usual latency.
+func (u *upstream) cost(n float64, v *view, c agateinventory.Class) float64 {
+	cost := u.ratio(v.normal) * (n + 1) / u.slots
+	if u.failures > 0 {
+		cost *= 1 + float64(u.failures)
+	}
+	return cost
+}
+
+// ratio is how much slower than usual the upstream answers, or 1.
+func (u *upstream) ratio(normal float64) float64 {
+	if u.latency.n < ratioEnough || normal <= 0 {
+		return 1
+	}
+	r := u.latency.mean / normal
+	if r < slowFrom {
+		return 1
+	}
+	return r
+}
+
+// ratioEnough is the number of answers from which a mean is trusted.
+const ratioEnough = 8
+
+// expected is the expected time to the answer of an upstream.
+func (g *group) expected(u *upstream, cost float64) time.Duration {
+	usual := g.latency.normal.mean
+	if g.latency.normal.n == 0 {
+		return firstExpected
+	}
+	if u.latency.n >= ratioEnough {
+		usual = u.latency.mean
+	}
+	return time.Duration(usual * max(1, cost) * float64(time.Second))
+}
+
+// takesShift reports whether a cold region's ramp leaves room for one more
+// request from another region.
+func (g *group) takesShift(now time.Time) bool {
+	if now.Sub(g.shiftAt) > shiftIdle && g.shiftOwn == 0 {
+		g.shift = ramp{open: 1}
+	}
+	return g.slots > 0 && (g.shift.warm || float64(g.shiftOwn) < g.shift.open)
+}
+
+// load is the number of requests in flight over all entry hosts as known.
+func (g *group) load() float64 {
+	return float64(g.own + g.peers)
+}
--- /dev/null
+++ b/core/agateroute/finish.go
@@ -0,0 +1,91 @@
+package agateroute
+
+import (
+	"time"
+)
+
+const (
+	// upstreamWindow is the number of answers over which the latency of one
+	// upstream is averaged, and groupWindow that of a group.
+	upstreamWindow = 32
+	groupWindow    = 256
+)
+
+// Start counts a request that is about to be sent.
+func (t *Table) Start(now time.Time, id UpstreamID) {
+	u := t.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.own++
+	u.group.own++
+}
+
+// Finish counts the end of a request that Start counted, and learns from it.
+func (t *Table) Finish(now time.Time, id UpstreamID, o Observation) {
+	u := t.upstreams[id]
+	if u == nil || u.own == 0 {
+		return
+	}
+	held := t.load(now, u)
+	u.own--
+	u.group.own--
+	if o.Alone && u.alone > 0 {
+		u.alone--
+	}
+	if o.Home != "" && o.Home != u.group.region {
+		u.group.shiftOwn = max(0, u.group.shiftOwn-1)
+		u.group.shiftAt = now
+	}
+	if o.RetryAfter > 0 {
+		u.hold[o.Class&1] = now.Add(o.RetryAfter)
+	}
+	switch o.Outcome {
+	case Answered:
+		t.answered(now, u, o, held)
+	case Failed, TimedOut, Unstarted:
+		t.failed(now, u, o)
+	}
+	t.noteDrain(now, u)
+}
+
+// load is the estimate of the requests at an upstream over all entry hosts.
+func (t *Table) load(now time.Time, u *upstream) float64 {
+	v := t.view(now, u.group)
+	return v.inFlight(u)
+}
+
+// answered learns from an answer.
+func (t *Table) answered(now time.Time, u *upstream, o Observation, held float64) {
+	g := u.group
+	g.service.answered = now
+	u.seen = now
+	u.failures = 0
+	seconds := o.Latency.Seconds()
+	// An upstream with more requests than slots makes them queue, so the
+	// answer time of a request alone is shorter by that ratio.
+	alone := seconds * min(1, u.slots/max(held, 1))
+	intime := g.latency.normal.n == 0 || alone <= rampSlow*g.latency.normal.mean
+	u.latency.add(alone, upstreamWindow)
+	if u.ramp.warm {
+		g.latency.normal.add(alone, groupWindow)
+		g.latency.whole.add(seconds, groupWindow)
+		g.latency.record(now, o.Latency)
+	}
+	u.ramp.answered(intime, u.slots*excess)
+	if o.Home != "" && o.Home != g.region {
+		g.shift.answered(intime, g.slots)
+	}
+	t.ejectSlow(now, u)
+}
+
+// failed learns from a failure.
+func (t *Table) failed(now time.Time, u *upstream, o Observation) {
+	u.failures++
+	if !u.ramp.warm {
+		u.ramp.failed()
+	}
+	if u.failures >= ejectFailures {
+		t.eject(now, u, EventEjectFailures)
+	}
+}
--- /dev/null
+++ b/core/agateroute/group.go
@@ -0,0 +1,179 @@
+package agateroute
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"agategate/core/agateinventory"
+)
+
+// service is what is known of one service in all regions.
+type service struct {
+	name     string
+	deadline time.Duration
+	groups   map[string]*group
+	order    []*group
+	budget   budget
+	answered time.Time // when the last answer arrived
+	fault    bool      // fail static is in force
+}
+
+func newService(name string) *service {
+	return &service{
+		name:   name,
+		groups: map[string]*group{},
+	}
+}
+
+func (s *service) configure(inv *agateinventory.Inventory) {
+	s.deadline = agateinventory.DefaultDeadline
+	if known := inv.Service(s.name); known != nil && known.Deadline > 0 {
+		s.deadline = known.Deadline
+	}
+}
+
+// group is one service in one region.
+type group struct {
+	service   *service
+	region    string
+	upstreams []*upstream
+	own       int     // in flight from this entry host
+	peers     int     // in flight from the others as reported
+	sharing   int     // other entry hosts that reported requests in flight
+	slots     float64 // of the upstreams that take new work
+	latency   latency
+	queue     queue
+	demand    rate
+	shift     ramp // overflow that comes in from other regions
+	shiftOwn  int
+	shiftAt   time.Time
+}
+
+func newGroup(s *service, region string, bound int) *group {
+	return &group{
+		service: s,
+		region:  region,
+		queue:   newQueue(bound),
+		latency: newLatency(),
+		shift:   ramp{open: 1},
+	}
+}
+
+func (g *group) add(u *upstream) {
+	u.group = g
+	g.upstreams = append(g.upstreams, u)
+	g.own += u.own
+	g.peers += u.peers
+}
+
+func (g *group) remove(u *upstream) {
+	for i, v := range g.upstreams {
+		if v == u {
+			g.upstreams = append(g.upstreams[:i], g.upstreams[i+1:]...)
+			break
+		}
+	}
+	g.own -= u.own
+	g.peers -= u.peers
+	g.slots -= u.counted
+	u.counted = 0
+}
+
+// recount keeps the sum of slots after a change of one upstream.
+func (g *group) recount(u *upstream) {
+	counted := 0.0
+	if u.working() {
+		counted = u.slots
+	}
+	g.slots += counted - u.counted
+	u.counted = counted
+}
+
+// Bounds of the latency histograms, in microseconds.
+const (
+	latencyLowest  = 1
+	latencyHighest = 60_000_000
+	latencyDigits  = 2
+	latencyRotate  = 5 * time.Second
+	latencyRefresh = 64
+	latencyEnough  = 32
+)
+
+// latency is the distribution of a service's answer times over the last 5 to
+// 10 s.
+type latency struct {
+	recent   *hdrhistogram.Histogram
+	older    *hdrhistogram.Histogram
+	rotated  time.Time
+	fresh    int
+	p50, p95 time.Duration // zero while unknown
+	normal   ewma          // seconds per answer, corrected for queueing
+	whole    ewma          // seconds per answer
+}
+
+func newLatency() latency {
+	return latency{
+		recent: hdrhistogram.New(latencyLowest, latencyHighest, latencyDigits),
+		older:  hdrhistogram.New(latencyLowest, latencyHighest, latencyDigits),
+	}
+}
+
+// record adds one answer.
+func (l *latency) record(now time.Time, d time.Duration) {
+	if now.Sub(l.rotated) > latencyRotate {
+		l.recent, l.older = l.older, l.recent
+		l.recent.Reset()
+		l.rotated = now
+	}
+	// The only error is a value above the highest, which is capped here.
+	_ = l.recent.RecordValue(min(max(d.Microseconds(), latencyLowest), latencyHighest))
+	l.fresh++
+	if l.fresh >= latencyRefresh || (l.p50 == 0 && l.fresh >= latencyEnough) {
+		l.refresh()
+	}
+}
+
+// refresh reads the quantiles from the fuller histogram.
+func (l *latency) refresh() {
+	l.fresh = 0
+	h := l.recent
+	if h.TotalCount() < l.older.TotalCount() {
+		h = l.older
+	}
+	l.p50 = time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
+	l.p95 = time.Duration(h.ValueAtQuantile(95)) * time.Microsecond
+}
+
+// rate counts events per second over the last one to two seconds.
+type rate struct {
+	start    time.Time
+	count    float64
+	previous float64 // per second
+}
+
+const rateWindow = time.Second
+
+// add counts n events.
+func (r *rate) add(now time.Time, n float64) {
+	r.roll(now)
+	r.count += n
+}
+
+func (r *rate) roll(now time.Time) {
+	past := now.Sub(r.start)
+	if past < rateWindow {
+		return
+	}
+	r.previous = r.count / past.Seconds()
+	if past > 10*rateWindow {
+		r.previous = 0
+	}
+	r.start, r.count = now, 0
+}
+
+// value is the rate per second.
+func (r *rate) value(now time.Time) float64 {
+	r.roll(now)
+	return r.previous
+}
--- /dev/null
+++ b/core/agateroute/peers.go
@@ -0,0 +1,187 @@
+package agateroute
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// peerForget is how long the last report of a silent peer counts. A cut-off
+	// peer's work still uses slots, but a dead one must not hold them for good.
+	peerForget = 10 * time.Second
+
+	// peerStale is the age from which a peer's report no longer counts as
+	// fresh evidence of anything but the total.
+	peerStale = time.Second
+)
+
+// Count is the number of requests in flight at one upstream.
+type Count struct {
+	ID       UpstreamID
+	InFlight int
+}
+
+// Exchange is what one entry host tells another.
+type Exchange struct {
+	// Host is the name of the sender.
+	Host string
+	// Epoch changes with each start of the sender.
+	Epoch uint64
+	// Version is the sender's table version. A later Export from it holds
+	// only what is newer.
+	Version uint64
+	// Announcements are those accepted since the version asked for, with
+	// their ages.
+	Announcements []Announcement
+	// InFlight are the sender's own requests per upstream, without zeros.
+	InFlight []Count
+	// Age is how old the counts were on arrival. Zero means now.
+	Age time.Duration
+}
+
+// peer is the last report of another entry host.
+type peer struct {
+	epoch  uint64
+	at     time.Time
+	counts map[UpstreamID]int
+	groups map[*group]int // where it has requests in flight
+}
+
+// Export returns what peers need to know: announcements newer than a version
+// of this table, and the requests in flight from this entry host. The caller
+// sets Epoch.
+func (t *Table) Export(now time.Time, since uint64) Exchange {
+	x := Exchange{Host: t.cfg.Host, Version: t.version}
+	for _, u := range t.order {
+		if u.version > since {
+			a := u.last
+			a.Age = max(0, now.Sub(u.heard))
+			x.Announcements = append(x.Announcements, a)
+		}
+		if u.own > 0 {
+			x.InFlight = append(x.InFlight, Count{ID: u.id, InFlight: u.own})
+		}
+	}
+	return x
+}
+
+// Merge takes what a peer exported. Reports of one epoch that are older than
+// the last one are ignored, apart from their announcements.
+func (t *Table) Merge(now time.Time, x Exchange) {
+	for _, a := range x.Announcements {
+		t.Announce(now, a)
+	}
+	if x.Host == "" || x.Host == t.cfg.Host {
+		return
+	}
+	at := now.Add(-max(0, x.Age))
+	p := t.peers[x.Host]
+	if p == nil {
+		p = &peer{counts: map[UpstreamID]int{}, groups: map[*group]int{}}
+		t.peers[x.Host] = p
+	}
+	if x.Epoch < p.epoch || (x.Epoch == p.epoch && at.Before(p.at)) {
+		return
+	}
+	p.epoch, p.at = x.Epoch, at
+	t.replace(p, x.InFlight)
+	t.averagePeers(now)
+}
+
+// averagePeers sets the mean time of the peers' last reports.
+func (t *Table) averagePeers(now time.Time) {
+	var sum time.Duration
+	for _, p := range t.peers {
+		sum += min(now.Sub(p.at), peerStale)
+	}
+	t.peersAt = now.Add(-sum / time.Duration(max(1, len(t.peers))))
+}
+
+// replace swaps the counts of one peer in all sums.
+func (t *Table) replace(p *peer, counts []Count) {
+	for id, n := range p.counts {
+		t.addPeers(id, -n)
+	}
+	for g := range p.groups {
+		g.sharing--
+	}
+	clear(p.counts)
+	clear(p.groups)
+	for _, c := range counts {
+		if c.InFlight > 0 {
+			p.counts[c.ID] += c.InFlight
+			t.addPeers(c.ID, c.InFlight)
+			p.share(t.upstreams[c.ID])
+		}
+	}
+}
+
+// share notes that the peer uses the group of an upstream.
+func (p *peer) share(u *upstream) {
+	if u == nil {
+		return
+	}
+	if p.groups[u.group] == 0 {
+		u.group.sharing++
+	}
+	p.groups[u.group]++
+}
+
+func (t *Table) addPeers(id UpstreamID, n int) {
+	if u := t.upstreams[id]; u != nil {
+		u.peers += n
+		u.group.peers += n
+	}
+}
+
+// forget drops the counts of peers that have been silent for too long.
+func (t *Table) forget(now time.Time) {
+	for host, p := range t.peers {
+		if now.Sub(p.at) > peerForget {
+			t.replace(p, nil)
+			delete(t.peers, host)
+		}
+	}
+}
+
+// view is what one choice needs to know about peers.
+type view struct {
+	normal  float64 // usual latency in seconds
+	perSlot float64 // peers' requests in flight per slot, over the group
+	fresh   float64 // weight of a peer's count for a single upstream, 0..1
+	hosts   float64 // entry hosts that share the group
+}
+
+// view prepares the numbers that are the same for all upstreams of a group.
+func (t *Table) view(now time.Time, g *group) view {
+	v := view{normal: g.latency.normal.mean, hosts: 1}
+	if g.slots > 0 {
+		v.perSlot = float64(g.peers) / g.slots
+	}
+	v.hosts += float64(g.sharing)
+	v.fresh = t.freshness(now, g)
+	return v
+}
+
+// freshness discounts peers' counts per upstream by their age: within about
+// one answer time the single counts are those of other requests, while the
+// total over the group changes slowly.
+func (t *Table) freshness(now time.Time, g *group) float64 {
+	age := now.Sub(t.peersAt)
+	normal := g.latency.normal.mean
+	if age > peerStale || normal <= 0 {
+		return 0
+	}
+	return math.Exp(-age.Seconds() / normal)
+}
+
+// inFlight estimates the requests in flight at an upstream over all entry
+// hosts: own ones exactly, those of peers from the total and, as far as they
+// are fresh, the single counts.
+func (v *view) inFlight(u *upstream) float64 {
+	even := v.perSlot * u.slots
+	if !u.ramp.warm {
+		even = float64(u.peers)
+	}
+	return float64(u.own) + even + (float64(u.peers)-even)*v.fresh
+}
--- /dev/null
+++ b/core/agateroute/queue.go
@@ -0,0 +1,210 @@
+package agateroute
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"agategate/core/agateinventory"
+)
+
+const (
+	// readTurn is the turn in a cycle of turns that belongs to reads while both
+	// classes wait: reads get one quarter, actions three.
+	readTurn  = 3
+	turnCycle = 4
+
+	// lookAhead is how many waiting requests of a class may be passed by one
+	// behind them when rules bar their upstreams.
+	lookAhead = 8
+)
+
+// queue holds the requests of one group that wait, by class.
+type queue struct {
+	waiting  [2][]Request
+	bound    int
+	turn     int
+	earliest time.Time // no waiting request has a deadline before it
+}
+
+func newQueue(bound int) queue {
+	return queue{bound: bound}
+}
+
+func (q *queue) len() int {
+	return len(q.waiting[0]) + len(q.waiting[1])
+}
+
+func (q *queue) empty() bool {
+	return q.len() == 0
+}
+
+func (q *queue) full() bool {
+	return q.len() >= q.bound
+}
+
+func (q *queue) push(r Request) {
+	if q.empty() || r.Deadline.Before(q.earliest) {
+		q.earliest = r.Deadline
+	}
+	q.waiting[r.Class&1] = append(q.waiting[r.Class&1], r)
+}
+
+// remove takes the request at a position out of its class.
+func (q *queue) remove(c agateinventory.Class, i int) Request {
+	w := q.waiting[c]
+	r := w[i]
+	copy(w[i:], w[i+1:])
+	w[len(w)-1] = Request{}
+	q.waiting[c] = w[:len(w)-1]
+	return r
+}
+
+// first is the class whose turn it is.
+func (q *queue) first() agateinventory.Class {
+	if q.turn%turnCycle == readTurn {
+		return agateinventory.Read
+	}
+	return agateinventory.Action
+}
+
+// served counts a turn, which matters only while both classes wait.
+func (q *queue) served(c agateinventory.Class) {
+	if len(q.waiting[1-c]) > 0 {
+		q.turn++
+	}
+}
+
+// enqueue lets a request wait for a busy group if it can be answered in time.
+func (t *Table) enqueue(now time.Time, g *group, r *Request, p pick) (Decision, bool) {
+	if p.best != nil || p.busy == 0 || r.Pinned != "" || g.queue.full() {
+		return Decision{}, false
+	}
+	wait := g.wait(now, r.Class)
+	if wait+g.reserve() > r.Deadline.Sub(now) {
+		return Decision{}, false
+	}
+	g.queue.push(*r)
+	return Decision{
+		Verdict:    Wait,
+		Reason:     ReasonBusy,
+		Region:     g.region,
+		Considered: p.considered,
+		Expected:   wait + g.usual(),
+	}, true
+}
+
+// wait is the expected time in the queue of one more request of a class.
+func (g *group) wait(now time.Time, c agateinventory.Class) time.Duration {
+	usual := g.usual()
+	actions := len(g.queue.waiting[agateinventory.Action])
+	reads := len(g.queue.waiting[agateinventory.Read])
+	ahead := actions + min(reads, actions/readTurn)
+	if c == agateinventory.Read {
+		ahead = reads + min(actions, readTurn*(reads+1))
+	}
+	// By Little's law, answers come back at in flight / latency.
+	return usual * time.Duration(ahead+1) / time.Duration(max(1, g.own))
+}
+
+// usual is the mean answer time as measured.
+func (g *group) usual() time.Duration {
+	if g.latency.whole.n == 0 {
+		return firstExpected
+	}
+	return time.Duration(g.latency.whole.mean * float64(time.Second))
+}
+
+// reserve is the time that must be left when a request is sent for the answer
+// to arrive in time in nearly all cases.
+func (g *group) reserve() time.Duration {
+	return min(g.latency.p95, g.service.deadline/2)
+}
+
+// retryAfter estimates when a refused request could be taken.
+func (g *group) retryAfter(now time.Time, r *Request) time.Duration {
+	over := g.wait(now, r.Class) + g.reserve() - r.Deadline.Sub(now)
+	return max(over, g.usual())
+}
+
+// Next returns the decision for a waiting request that can be made now: Send
+// when there is room, or Refuse when the request can no longer be answered in
+// time. The caller calls it until ok is false.
+func (t *Table) Next(now time.Time) (r Request, d Decision, ok bool) {
+	for range t.groups {
+		if t.turn >= len(t.groups) {
+			t.turn = 0
+		}
+		g := t.groups[t.turn]
+		if !g.queue.empty() {
+			if r, d, ok = t.next(now, g); ok {
+				return r, d, true
+			}
+		}
+		t.turn++
+	}
+	return Request{}, Decision{}, false
+}
+
+// next serves the queue of one group.
+func (t *Table) next(now time.Time, g *group) (Request, Decision, bool) {
+	if r, d, ok := t.expire(now, g); ok {
+		return r, d, true
+	}
+	first := g.queue.first()
+	for _, c := range [2]agateinventory.Class{first, 1 - first} {
+		if r, d, ok := t.serve(now, g, c); ok {
+			return r, d, true
+		}
+	}
+	return Request{}, Decision{}, false
+}
+
+// expire refuses the first request that can no longer be answered in time.
+func (t *Table) expire(now time.Time, g *group) (Request, Decision, bool) {
+	if g.slots == 0 {
+		return g.drop(ReasonNone, t.cfg.Interval, func(Request) bool { return true })
+	}
+	// What is left must allow for the faster half of the answers.
+	limit := now.Add(g.latency.p50)
+	if g.queue.earliest.After(limit) {
+		return Request{}, Decision{}, false
+	}
+	return g.drop(ReasonLate, g.usual(), func(r Request) bool { return !r.Deadline.After(limit) })
+}
+
+// drop refuses the first waiting request that a test names. Without one, it
+// renews the bound on the deadlines.
+func (g *group) drop(why Reason, after time.Duration, doomed func(Request) bool) (Request, Decision, bool) {
+	earliest := time.Time{}
+	for c := range g.queue.waiting {
+		for i, r := range g.queue.waiting[c] {
+			if doomed(r) {
+				r = g.queue.remove(agateinventory.Class(c), i)
+				return r, Decision{Reason: why, RetryAfter: after}, true
+			}
+			if earliest.IsZero() || r.Deadline.Before(earliest) {
+				earliest = r.Deadline
+			}
+		}
+	}
+	g.queue.earliest = earliest
+	return Request{}, Decision{}, false
+}
+
+// serve sends the first request of a class that has an upstream with room.
+func (t *Table) serve(now time.Time, g *group, c agateinventory.Class) (Request, Decision, bool) {
+	waiting := g.queue.waiting[c]
+	for i := 0; i < min(len(waiting), lookAhead); i++ {
+		p := t.survey(now, g, &waiting[i], xxhash.Sum64String(waiting[i].ID))
+		d, ok := t.send(now, g, &waiting[i], p, ReasonBest)
+		if ok {
+			g.queue.served(c)
+			return g.queue.remove(c, i), d, true
+		}
+		if p.busy == p.considered {
+			return Request{}, Decision{}, false
+		}
+	}
+	return Request{}, Decision{}, false
+}
--- /dev/null
+++ b/core/agateroute/retry.go
@@ -0,0 +1,152 @@
+package agateroute
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"agategate/core/agateinventory"
+)
+
+const (
+	budgetWindow = 10 * time.Second
+	budgetParts  = 10
+)
+
+// budget bounds second attempts to a share of the requests of the last 10 s.
+type budget struct {
+	start    time.Time // of the newest part
+	newest   int
+	requests [budgetParts]int
+	seconds  [budgetParts]int // second attempts
+	sumR     int
+	sumS     int
+}
+
+// roll moves the window to now.
+func (b *budget) roll(now time.Time) {
+	const part = budgetWindow / budgetParts
+	if now.Sub(b.start) >= budgetWindow {
+		*b = budget{start: now}
+		return
+	}
+	for now.Sub(b.start) >= part {
+		b.start = b.start.Add(part)
+		b.newest = (b.newest + 1) % budgetParts
+		b.sumR -= b.requests[b.newest]
+		b.sumS -= b.seconds[b.newest]
+		b.requests[b.newest] = 0
+		b.seconds[b.newest] = 0
+	}
+}
+
+// request counts a first attempt.
+func (b *budget) request(now time.Time) {
+	b.roll(now)
+	b.requests[b.newest]++
+	b.sumR++
+}
+
+// allows reports whether one more second attempt is within the budget.
+func (b *budget) allows(now time.Time) bool {
+	b.roll(now)
+	return float64(b.sumS+1) <= DefaultBudget*float64(b.sumR)
+}
+
+// take counts a second attempt.
+func (b *budget) take() {
+	b.seconds[b.newest]++
+	b.sumS++
+}
+
+// Retry decides about a second attempt after an observation, which the caller
+// has passed to Finish. The caller has added the upstream to r.Tried. The
+// verdict is Send, Wait or Refuse; Refuse means that the first outcome stands.
+func (t *Table) Retry(now time.Time, r Request, o Observation) Decision {
+	switch {
+	case o.Outcome == Answered || o.Outcome == Canceled:
+		return Decision{Reason: ReasonUnexpected}
+	case r.Class != agateinventory.Read && o.Started():
+		return Decision{Reason: ReasonStarted}
+	}
+	return t.second(now, &r, ReasonRetry, true)
+}
+
+// Hedge decides whether a read that has been at an upstream for some time
+// gets a second attempt elsewhere. It does so past the 95th percentile of the
+// answer times. The verdict is Send or Refuse. The caller has added the first
+// upstream to r.Tried, and cancels the attempt that Loser names.
+func (t *Table) Hedge(now time.Time, r Request, waited time.Duration) Decision {
+	at := t.HedgeAfter(r.Service, r.Region)
+	if r.Class != agateinventory.Read || at == 0 || waited < at {
+		return Decision{Reason: ReasonUnexpected}
+	}
+	return t.second(now, &r, ReasonHedge, false)
+}
+
+// HedgeAfter is the answer time from which a read may be hedged: the 95th
+// percentile, or zero while too few answers are known.
+func (t *Table) HedgeAfter(service, region string) time.Duration {
+	if region == "" {
+		region = t.cfg.Region
+	}
+	if s := t.services[service]; s != nil && s.groups[region] != nil {
+		return s.groups[region].latency.p95
+	}
+	return 0
+}
+
+// Loser is the attempt of a hedged read to cancel once the other answered.
+func Loser(first, second, answered UpstreamID) UpstreamID {
+	if answered == first {
+		return second
+	}
+	return first
+}
+
+// second decides about a second attempt within the budget.
+func (t *Table) second(now time.Time, r *Request, why Reason, mayWait bool) Decision {
+	s := t.services[r.Service]
+	if s == nil {
+		return Decision{Reason: ReasonUnknown, RetryAfter: t.cfg.Interval}
+	}
+	if r.Region == "" {
+		r.Region = t.cfg.Region
+	}
+	if !now.Before(r.Deadline) {
+		return Decision{Reason: ReasonLate}
+	}
+	if !s.budget.allows(now) {
+		return Decision{Reason: ReasonBudget, RetryAfter: t.cfg.Interval}
+	}
+	d := t.secondChoice(now, s, r, why, mayWait)
+	if d.Verdict != Refuse {
+		s.budget.take()
+	}
+	return d
+}
+
+// secondChoice picks the upstream of a second attempt.
+func (t *Table) secondChoice(now time.Time, s *service, r *Request, why Reason, mayWait bool) Decision {
+	home := s.groups[r.Region]
+	hash := xxhash.Sum64String(r.ID)
+	var p pick
+	if home != nil && r.Pinned == "" {
+		p = t.survey(now, home, r, hash)
+		if d, ok := t.send(now, home, r, p, why); ok {
+			return d
+		}
+	}
+	if !mayWait {
+		return t.refuse(now, home, r, p)
+	}
+	if home != nil {
+		if d, ok := t.enqueue(now, home, r, p); ok {
+			return d
+		}
+	}
+	if d, ok := t.overflow(now, s, r, hash); ok {
+		return d
+	}
+	return t.refuse(now, home, r, p)
+}
