--- /dev/null
+++ b/io/agateupstream/pool_test.go
@@ -0,0 +1,468 @@
+package agateupstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+func TestAnswers(t *testing.T) {
+	data, err := os.ReadFile("testdata/answers.txt")
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		f := strings.Split(line, "|")
+		for i := range f {
+			f[i] = strings.TrimSpace(f[i])
+		}
+		t.Run(f[0], func(t *testing.T) { t.Parallel(); testAnswer(t, f) })
+	}
+}
+
+func testAnswer(t *testing.T, f []string) {
+	raw, err := strconv.Unquote(f[3])
+	assert.NilError(t, err)
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		io.WriteString(w, raw)
+		return f[2] == "keep"
+	})
+	p := newPool(t, Config{BodyLimit: 1024})
+	call := get(s.addr, "/x")
+	call.Method = f[1]
+	call.Header = http.Header{"Agate-Request": {"own"}}
+	r := p.Do(t.Context(), call)
+	assert.Equal(t, r.Kind.String(), f[4], "%v", r.Err)
+	assert.Equal(t, strconv.Itoa(r.Status), f[5])
+	assert.Equal(t, strconv.Quote(string(r.Body)), f[6])
+	assert.Equal(t, r.Started, r.Kind != Shed)
+	assert.Equal(t, (r.Err == nil), (r.Kind == Answered || r.Kind == Shed))
+	assert.Equal(t, s.runs.Load(), int64(1))
+	assert.Assert(t, !r.Died)
+	first := s.conns.Load()
+	p.Do(t.Context(), call)
+	if f[7] == "yes" {
+		assert.Equal(t, s.conns.Load(), first)
+	} else {
+		assert.Assert(t, s.conns.Load() > 1)
+	}
+}
+
+// Guards against actions that run twice because a client resends them, and
+// shows that net/http's Transport is such a client.
+func TestCloseAfterReadRunsOnce(t *testing.T) {
+	var labels atomic.Int64
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/warm" {
+			return respond(w, "warm")
+		}
+		labels.Add(1)
+		return false
+	})
+	p := newPool(t, Config{})
+	assert.Equal(t, p.Do(t.Context(), get(s.addr, "/warm")).Kind, Answered)
+	call := get(s.addr, "/label")
+	call.Method, call.Body, call.Action = "POST", []byte("x"), true
+	call.Header = http.Header{"Idempotency-Key": {"k"}}
+	r := p.Do(t.Context(), call)
+	assert.Equal(t, r.Kind, Broken)
+	assert.Assert(t, r.Started && !r.Died)
+	assert.Equal(t, labels.Load(), int64(1))
+
+	labels.Store(0)
+	client := http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	resp, err := client.Get("http://" + s.addr.String() + "/warm")
+	assert.NilError(t, err)
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	req, _ := http.NewRequest("POST", "http://"+s.addr.String()+"/label", strings.NewReader("x"))
+	req.Header.Set("Idempotency-Key", "k")
+	_, err = client.Do(req)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, labels.Load(), int64(2))
+}
+
+// Guards against an answer that arrives after its caller gave up and reaches
+// the next caller.
+func TestLateAnswer(t *testing.T) {
+	release := make(chan struct{})
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		return echo(w, r)
+	})
+	p := newPool(t, Config{})
+	call := get(s.addr, "/slow")
+	call.Deadline = time.Now().Add(30 * time.Millisecond)
+	r := p.Do(t.Context(), call)
+	assert.Equal(t, r.Kind, TimedOut)
+	assert.Assert(t, r.Started)
+	close(release)
+	for i := range 20 {
+		path := fmt.Sprint("/", i)
+		assert.Equal(t, string(p.Do(t.Context(), get(s.addr, path)).Body), path)
+	}
+}
+
+// Guards against an unsolicited answer on an idle connection that is taken
+// for the answer to the next request.
+func TestStrayAnswer(t *testing.T) {
+	stray := make(chan struct{})
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		echo(w, r)
+		if r.URL.Path == "/1" {
+			<-stray
+			echo(w, r)
+		}
+		return true
+	})
+	p := newPool(t, Config{})
+	assert.Equal(t, string(p.Do(t.Context(), get(s.addr, "/1")).Body), "/1")
+	c := p.upstream("u").idle[0]
+	assert.Assert(t, c.quiet())
+	close(stray)
+	await(t, "stray answer", func() bool { return !c.quiet() })
+	assert.Equal(t, string(p.Do(t.Context(), get(s.addr, "/2")).Body), "/2")
+}
+
+// Guards against late results of an answer being awaited past the deadline
+// being lost: Grace extends the wait, not the time told to the upstream.
+func TestGrace(t *testing.T) {
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		ms, _ := strconv.Atoi(r.Header.Get("Agate-Deadline-Ms"))
+		time.Sleep(time.Duration(ms+20) * time.Millisecond)
+		return respond(w, strconv.Itoa(ms))
+	})
+	call := get(s.addr, "/")
+	call.Deadline = time.Now().Add(30 * time.Millisecond)
+	call.Grace = 10 * time.Second
+	r := newPool(t, Config{}).Do(t.Context(), call)
+	assert.Equal(t, r.Kind, Answered)
+	ms, _ := strconv.Atoi(string(r.Body))
+	assert.Assert(t, ms >= 1 && ms <= 30, "%d", ms)
+}
+
+// Guards against requests that wait on connections that went silent for good
+// while new ones work.
+func TestSilentConnections(t *testing.T) {
+	s := startUpstream(t, echo)
+	l := startRelay(t, s.addr)
+	p := newPool(t, Config{})
+	fillIdle(t, p, l.addr, 4)
+	l.freeze()
+	call := get(l.addr, "/a")
+	call.Probe = 30 * time.Millisecond
+	r := p.Do(t.Context(), call)
+	assert.Equal(t, r.Kind, TimedOut)
+	assert.Assert(t, r.Started && !r.Died)
+	open, _ := p.Usage("u")
+	assert.Equal(t, open, 0)
+	assert.Equal(t, string(p.Do(t.Context(), get(l.addr, "/b")).Body), "/b")
+}
+
+// fillIdle makes n idle connections.
+func fillIdle(t *testing.T, p *Pool, addr netip.AddrPort, n int) {
+	t.Helper()
+	var wg, at sync.WaitGroup
+	at.Add(n)
+	for range n {
+		wg.Go(func() {
+			call := get(addr, "/fill")
+			call.BeforeWrite = func() bool { at.Done(); at.Wait(); return true }
+			r := p.Do(t.Context(), call)
+			if r.Kind != Answered {
+				t.Error(r.Kind, r.Err)
+			}
+		})
+	}
+	wg.Wait()
+	open, idle := p.Usage("u")
+	assert.Equal(t, [2]int{open, idle}, [2]int{n, n})
+}
+
+// Guards against the loss of connections that showed life after the silent
+// request was written, and the survival of those that did not.
+func TestSilentKeepsLive(t *testing.T) {
+	s := startUpstream(t, echo)
+	p := newPool(t, Config{})
+	fillIdle(t, p, s.addr, 3)
+	u := p.upstream("u")
+	now := time.Now()
+	u.idle[0].opened, u.idle[0].life = now.Add(-2), now.Add(-1)
+	u.idle[1].opened, u.idle[1].life = now.Add(-2), now.Add(1)
+	u.idle[2].opened, u.idle[2].life = now.Add(1), now.Add(1)
+	keep := []*conn{u.idle[1], u.idle[2]}
+	u.closeSilent(now)
+	assert.Equal(t, len(u.idle), 2)
+	assert.Assert(t, u.idle[0] == keep[0] && u.idle[1] == keep[1])
+	assert.Equal(t, u.open, 2)
+}
+
+// Guards against a deadline that every new byte extends, and against a probe
+// that cuts off an answer that makes progress.
+func TestTrickle(t *testing.T) {
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		n, _ := strconv.Atoi(r.URL.Query().Get("n"))
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", n)
+		for range n {
+			time.Sleep(20 * time.Millisecond)
+			if _, err := io.WriteString(w, "x"); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+	p := newPool(t, Config{})
+	call := get(s.addr, "/?n=100000")
+	call.Deadline = time.Now().Add(200 * time.Millisecond)
+	r := p.Do(t.Context(), call)
+	assert.Equal(t, r.Kind, TimedOut)
+	call = get(s.addr, "/?n=40")
+	call.Probe = 500 * time.Millisecond
+	r = p.Do(t.Context(), call)
+	assert.Equal(t, r.Kind, Answered)
+	assert.Assert(t, r.Elapsed > call.Probe)
+}
+
+// Guards against work that goes on at the upstream after its caller left.
+func TestCancelReachesUpstream(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	closed := make(chan error, 1)
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		cancel()
+		_, err := w.Read(make([]byte, 1))
+		closed <- err
+		return false
+	})
+	p := newPool(t, Config{})
+	r := p.Do(ctx, get(s.addr, "/"))
+	assert.Equal(t, r.Kind, Cancelled)
+	assert.Assert(t, r.Started && !r.Died)
+	assert.Assert(t, <-closed != nil)
+	open, _ := p.Usage("u")
+	assert.Equal(t, open, 0)
+	r = p.Do(ctx, get(s.addr, "/"))
+	assert.Equal(t, r.Kind, Cancelled)
+	assert.Assert(t, !r.Started)
+	assert.Equal(t, s.runs.Load(), int64(1))
+}
+
+// Guards against more connections than this process's share.
+func TestShare(t *testing.T) {
+	release := make(chan struct{})
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		<-release
+		return echo(w, r)
+	})
+	p := newPool(t, Config{})
+	p.SetShare("u", 4)
+	var kinds [Busy + 1]atomic.Int64
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() { kinds[p.Do(t.Context(), get(s.addr, "/")).Kind].Add(1) })
+	}
+	await(t, "refusals", func() bool { return kinds[Busy].Load() == 16 })
+	close(release)
+	wg.Wait()
+	assert.Equal(t, kinds[Answered].Load(), int64(4))
+	assert.Equal(t, s.conns.Load(), int64(4))
+	p.SetShare("u", 1)
+	open, _ := p.Usage("u")
+	assert.Equal(t, open, 1)
+	p.SetShare("u", 0)
+	assert.Equal(t, p.Do(t.Context(), get(s.addr, "/")).Kind, Busy)
+}
+
+// Guards against actions on connections that may have gone stale.
+func TestStaleConnection(t *testing.T) {
+	s := startUpstream(t, echo)
+	p := newPool(t, Config{})
+	p.SetShare("u", 1)
+	age := func(d time.Duration) { c := p.upstream("u").idle[0]; c.life = c.life.Add(-d) }
+	action := get(s.addr, "/")
+	action.Action = true
+	assert.Equal(t, p.Do(t.Context(), action).Kind, Answered)
+	assert.Equal(t, p.Do(t.Context(), action).Kind, Answered)
+	assert.Equal(t, s.conns.Load(), int64(1), "a live connection carries an action")
+	age(actionLife)
+	assert.Equal(t, p.Do(t.Context(), get(s.addr, "/")).Kind, Answered)
+	assert.Equal(t, s.conns.Load(), int64(1), "an older one carries a read")
+	age(actionLife)
+	assert.Equal(t, p.Do(t.Context(), action).Kind, Answered)
+	assert.Equal(t, s.conns.Load(), int64(2), "an older one carries no action")
+	age(DefaultIdleAge)
+	assert.Equal(t, p.Do(t.Context(), get(s.addr, "/")).Kind, Answered)
+	assert.Equal(t, s.conns.Load(), int64(3), "one past the age limit carries nothing")
+	age(DefaultIdleAge)
+	p.closeIdle(time.Now().Add(-DefaultIdleAge))
+	open, _ := p.Usage("u")
+	assert.Equal(t, open, 0)
+	other := startUpstream(t, echo)
+	p.Do(t.Context(), get(s.addr, "/"))
+	p.Do(t.Context(), get(other.addr, "/"))
+	assert.Equal(t, other.conns.Load(), int64(1), "a new address needs a new connection")
+}
+
+// Guards against deaths that go unnoticed: each request in flight must report
+// the death, the first one to break included.
+func TestDied(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		var arrived sync.WaitGroup
+		arrived.Add(3)
+		s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+			arrived.Done()
+			_, err := w.Read(make([]byte, 1))
+			return err == nil
+		})
+		p := newPool(t, Config{})
+		var died atomic.Int64
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() {
+				r := p.Do(t.Context(), get(s.addr, "/"))
+				if r.Kind == Broken && r.Died {
+					died.Add(1)
+				}
+			})
+		}
+		arrived.Wait()
+		if !restarts {
+			s.ln.Close()
+		}
+		s.kill()
+		wg.Wait()
+		assert.Equal(t, died.Load(), int64(3), "restarts: %t", restarts)
+	}
+}
+
+func TestNeverStarted(t *testing.T) {
+	s := startUpstream(t, echo)
+	p := newPool(t, Config{})
+	call := get(s.addr, "/")
+	call.BeforeWrite = func() bool { return false }
+	r := p.Do(t.Context(), call)
+	assert.Equal(t, r.Kind, NotWritten)
+	assert.ErrorIs(t, r.Err, ErrWithdrawn)
+	call = get(s.addr, "/")
+	call.Deadline = time.Now()
+	assert.Equal(t, p.Do(t.Context(), call).Kind, TimedOut)
+	for _, path := range []string{"", "x", "/ HTTP/1.1\r\nX: y", "/\n"} {
+		assert.Equal(t, p.Do(t.Context(), get(s.addr, path)).Kind, NotWritten)
+	}
+	s.ln.Close()
+	s.kill()
+	await(t, "end of the connection", func() bool { return !p.upstream("u").idle[0].quiet() })
+	r = p.Do(t.Context(), get(s.addr, "/"))
+	assert.Equal(t, r.Kind, Refused)
+	assert.Assert(t, !r.Started)
+	assert.Equal(t, s.runs.Load(), int64(0))
+	p.Close()
+	assert.ErrorIs(t, p.Do(t.Context(), get(s.addr, "/")).Err, ErrClosed)
+}
+
+// Guards against headers that concern one connection crossing to another, and
+// against a caller that sets the protocol's own headers.
+func TestHeaders(t *testing.T) {
+	var seen http.Header
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		seen = r.Header
+		io.WriteString(w, "HTTP/1.1 200 OK\r\nConnection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 9\r\nX-End: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	p := newPool(t, Config{})
+	call := get(s.addr, "/")
+	call.Method, call.Body = "POST", []byte("body")
+	call.Header = http.Header{
+		"Connection": {"keep-alive, X-Mine"}, "X-Mine": {"1"}, "X-End": {"a\r\nX-Injected: 1"},
+		"Te": {"trailers"}, "Expect": {"100-continue"}, "Content-Length": {"99"},
+		"Agate-Deadline-Ms": {"1"}, "Transfer-Encoding": {"chunked"}, "Upgrade": {"h2c"},
+	}
+	r := p.Do(t.Context(), call)
+	assert.Equal(t, r.Kind, Answered, "%v", r.Err)
+	assert.Equal(t, r.RetryAfter, 3*time.Second)
+	assert.DeepEqual(t, r.Header, http.Header{"X-End": {"1"}, "Retry-After": {"3"}, "Content-Length": {"0"}})
+	assert.Equal(t, seen.Get("Test-Body"), "body")
+	ms, err := strconv.Atoi(seen.Get("Agate-Deadline-Ms"))
+	assert.Assert(t, err == nil && ms > 5000 && ms <= 10000)
+	seen.Del("Test-Body")
+	seen.Del("Agate-Deadline-Ms")
+	assert.DeepEqual(t, seen, http.Header{"Content-Length": {"4"}, "X-End": {"a  X-Injected: 1"}})
+}
+
+// Guards against unbounded memory for answers.
+func TestTooLarge(t *testing.T) {
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		io.WriteString(w, "HTTP/1.1 200 OK\r\n")
+		if r.URL.Path == "/body" {
+			io.WriteString(w, "Transfer-Encoding: chunked\r\n\r\n")
+		}
+		for {
+			line := "X-H: 0123456789\r\n"
+			if r.URL.Path == "/body" {
+				line = "4\r\nabcd\r\n"
+			}
+			if _, err := io.WriteString(w, line); err != nil {
+				return false
+			}
+		}
+	})
+	p := newPool(t, Config{BodyLimit: 64 << 10})
+	assert.Equal(t, p.Do(t.Context(), get(s.addr, "/head")).Kind, TooLarge)
+	assert.Equal(t, p.Do(t.Context(), get(s.addr, "/body")).Kind, TooLarge)
+}
+
+// Guards against a deadlock between an upstream that answers without reading
+// the request and a pool that writes without reading the answer.
+func TestEarlyAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			io.WriteString(c, "HTTP/1.1 413 No\r\nContent-Length: 0\r\n\r\n")
+			defer c.Close()
+			<-t.Context().Done()
+		}
+	}()
+	p := newPool(t, Config{})
+	call := get(ln.Addr().(*net.TCPAddr).AddrPort(), "/")
+	call.Method, call.Body = "POST", make([]byte, 16<<20)
+	r := p.Do(t.Context(), call)
+	assert.Equal(t, r.Status, 413, "%v", r.Err)
+	open, _ := p.Usage("u")
+	assert.Equal(t, open, 0)
+}
+
+func TestSocketOptions(t *testing.T) {
+	s := startUpstream(t, echo)
+	p := newPool(t, Config{UserTimeout: 1234 * time.Millisecond})
+	p.Do(t.Context(), get(s.addr, "/"))
+	rc, err := p.upstream("u").idle[0].tcp.SyscallConn()
+	assert.NilError(t, err)
+	for option, want := range map[int]int{
+		unix.TCP_USER_TIMEOUT: 1234, unix.TCP_KEEPIDLE: 1, unix.TCP_KEEPINTVL: 1, unix.TCP_KEEPCNT: 3,
+	} {
+		rc.Control(func(fd uintptr) {
+			got, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+			assert.NilError(t, err)
+			assert.Equal(t, got, want)
+		})
+	}
+}
