--- /dev/null
+++ b/core/agateinventory/checkservice.go
@@ -0,0 +1,145 @@
+package agateinventory
+
+func (c *checker) checkServices() {
+	for i := range c.doc.Service {
+		s := &c.doc.Service[i]
+		if name(s.At, "name", s.Name) {
+			if old := c.services[s.Name]; old != nil {
+				s.At.Refuse("name", "%q is already the name of the service on line %d", s.Name, old.At.Line())
+			} else {
+				c.services[s.Name] = s
+			}
+		}
+		c.checkPlaces(s)
+		checkOperations(s)
+	}
+}
+
+func (c *checker) checkPlaces(s *serviceTable) {
+	if s.At.Has("regions") && len(s.Regions) == 0 {
+		s.At.Refuse("regions", "a service needs at least one region")
+	}
+	seen := make(map[string]bool)
+	for i, r := range s.Regions {
+		if c.regions[r] == nil && !c.broken {
+			s.At.RefuseItem("regions", i, "%q is not a known region", r)
+		}
+		if seen[r] {
+			s.At.RefuseItem("regions", i, "%q is listed twice", r)
+		}
+		seen[r] = true
+	}
+}
+
+// checkOperations refuses operations that can never be matched. Actions are
+// matched before reads.
+func checkOperations(s *serviceTable) {
+	for i, o := range s.Actions {
+		if j := covered(s.Actions[:i], o); j >= 0 {
+			s.At.RefuseItem("actions", i, "%q is already covered by %q", o, s.Actions[j])
+		}
+	}
+	for i, o := range s.Reads {
+		if j := covered(s.Actions, o); j >= 0 {
+			s.At.RefuseItem("reads", i, "%q is already covered by the action %q", o, s.Actions[j])
+			continue
+		}
+		if j := covered(s.Reads[:i], o); j >= 0 {
+			s.At.RefuseItem("reads", i, "%q is already covered by %q", o, s.Reads[j])
+		}
+	}
+}
+
+func covered(list []Operation, o Operation) int {
+	for i, other := range list {
+		if other.Method != "" && other.covers(o) {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *checker) checkLinks() {
+	for i := range c.doc.Link {
+		l := &c.doc.Link[i]
+		from := c.region(l.At, "from", l.From)
+		to := c.region(l.At, "to", l.To)
+		if !from || !to {
+			continue
+		}
+		if l.From == l.To {
+			l.At.Refuse("to", "a link joins two different regions")
+			continue
+		}
+		key := [2]string{l.From, l.To}
+		if _, ok := c.links[key]; ok {
+			l.At.Refuse("to", "the link from %q to %q is already listed", l.From, l.To)
+			continue
+		}
+		c.links[key] = l.Bytes
+	}
+}
+
+// link returns the capacity between two regions. A link that is listed for
+// one direction holds for the other one too, unless that is listed itself.
+func (c *checker) link(from, to string) (float64, bool) {
+	bytes, ok := c.links[[2]string{from, to}]
+	if !ok {
+		bytes, ok = c.links[[2]string{to, from}]
+	}
+	return bytes, ok
+}
+
+func (c *checker) checkShifts() {
+	seen := make(map[[3]string]bool)
+	for i := range c.doc.Shift {
+		s := &c.doc.Shift[i]
+		c.checkCaps(s)
+		c.checkRoute(s)
+		key := [3]string{s.Service, s.From, s.To}
+		if seen[key] {
+			s.At.Refuse("service", "the shift of %q from %q to %q is already listed", s.Service, s.From, s.To)
+		}
+		seen[key] = true
+	}
+}
+
+func (c *checker) checkRoute(s *shiftTable) {
+	from := c.region(s.At, "from", s.From)
+	to := c.region(s.At, "to", s.To)
+	if from && to && s.From == s.To {
+		s.At.Refuse("to", "a shift joins two different regions")
+	}
+	if !s.At.Has("service") {
+		return
+	}
+	service := c.services[s.Service]
+	if service == nil {
+		s.At.Refuse("service", "%q is not a known service", s.Service)
+		return
+	}
+	if s.Allow && to && !contains(service.Regions, s.To) {
+		s.At.Refuse("to", "service %q does not exist in region %q", s.Service, s.To)
+	}
+}
+
+func (c *checker) checkCaps(s *shiftTable) {
+	if s.Allow && s.Requests == 0 {
+		s.At.Refuse("requests", "an allowed shift needs a cap above 0 in requests per second")
+	}
+	if s.Allow && s.Bytes == 0 {
+		s.At.Refuse("bytes", "an allowed shift needs a cap above 0 in bytes per second")
+	}
+	if link, ok := c.link(s.From, s.To); ok && s.Bytes > link {
+		s.At.Refuse("bytes", "the cap of %v is above the link's %v bytes per second", s.Bytes, link)
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/agateinventory/drain.go
@@ -0,0 +1,118 @@
+package agateinventory
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+)
+
+// SetDrain returns a document with a drain added or, if the document has a
+// drain of that kind and name, with its share replaced. The text of the
+// document is kept, comments included, if an edit of the text gives the same
+// inventory; otherwise the result is formatted anew. The file names the
+// document in problems.
+func SetDrain(file string, doc []byte, d Drain) ([]byte, Problems) {
+	return edit(file, doc, d.Kind, d.Name, &d)
+}
+
+// ClearDrain returns a document without a drain. A document that does not
+// have the drain is returned as it is.
+func ClearDrain(file string, doc []byte, kind DrainKind, name string) ([]byte, Problems) {
+	return edit(file, doc, kind, name, nil)
+}
+
+func edit(file string, doc []byte, kind DrainKind, name string, d *Drain) ([]byte, Problems) {
+	inv, problems := Parse(file, doc)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	want := *inv
+	want.Drains = withDrain(inv.Drains, kind, name, d)
+	if reflect.DeepEqual(want.Drains, inv.Drains) {
+		return doc, nil
+	}
+	text := editText(doc, kind, name, d)
+	if got, problems := Parse(file, text); len(problems) == 0 && reflect.DeepEqual(got, &want) {
+		return text, nil
+	}
+	text = Format(&want)
+	_, problems = Parse(file, text)
+	return text, problems
+}
+
+// withDrain returns a copy of a list without the drain of a kind and name and
+// with d, if there is one, at the end.
+func withDrain(old []Drain, kind DrainKind, name string, d *Drain) []Drain {
+	var list []Drain
+	for _, o := range old {
+		if o.Kind == kind && o.Name == name {
+			if d != nil && o.Share == d.Share {
+				return old
+			}
+			continue
+		}
+		list = append(list, o)
+	}
+	if d != nil {
+		list = append(list, *d)
+	}
+	return list
+}
+
+// editText removes the drain's table from the text and appends d.
+func editText(doc []byte, kind DrainKind, name string, d *Drain) []byte {
+	w := &writer{}
+	for _, section := range sections(doc) {
+		if !isDrain(section, kind, name) {
+			w.buf.Write(section)
+		}
+	}
+	if d != nil {
+		if n := w.buf.Len(); n > 0 && w.buf.Bytes()[n-1] != '\n' {
+			w.buf.WriteByte('\n')
+		}
+		w.drain(*d)
+	}
+	return w.buf.Bytes()
+}
+
+// sections cuts a document before each line that begins a [[drain]] table and
+// before each line that ends one: a blank line, a comment or a header.
+func sections(doc []byte) [][]byte {
+	var list [][]byte
+	start, inside := 0, false
+	for pos := 0; pos < len(doc); {
+		end := len(doc)
+		if n := bytes.IndexByte(doc[pos:], '\n'); n >= 0 {
+			end = pos + n + 1
+		}
+		line := strings.TrimSpace(string(doc[pos:end]))
+		opens := line == "[[drain]]"
+		closes := inside && (line == "" || line[0] == '#' || line[0] == '[')
+		if opens || closes {
+			list = append(list, doc[start:pos])
+			start, inside = pos, opens
+		}
+		pos = end
+	}
+	return append(list, doc[start:])
+}
+
+func isDrain(section []byte, kind DrainKind, name string) bool {
+	lines := strings.Split(string(section), "\n")
+	if strings.TrimSpace(lines[0]) != "[[drain]]" {
+		return false
+	}
+	var hasKind, hasName bool
+	for _, line := range lines[1:] {
+		key, val, _ := strings.Cut(line, "=")
+		val, _, _ = strings.Cut(val, "#")
+		switch strings.TrimSpace(key) {
+		case "kind":
+			hasKind = strings.TrimSpace(val) == quote(string(kind))
+		case "name":
+			hasName = strings.TrimSpace(val) == quote(name)
+		}
+	}
+	return hasKind && hasName
+}
--- /dev/null
+++ b/core/agateinventory/format.go
@@ -0,0 +1,142 @@
+package agateinventory
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Format returns an inventory as a document. For an inventory from Parse,
+// Parse(Format(inv)) returns an equal one.
+func Format(inv *Inventory) []byte {
+	w := &writer{}
+	w.number("target", inv.Target)
+	w.number("eject", inv.Eject)
+	if len(inv.Retire) > 0 {
+		w.list("retire", inv.Retire)
+	}
+	w.formatPlaces(inv)
+	w.formatServices(inv)
+	w.formatRules(inv)
+	return w.buf.Bytes()
+}
+
+type writer struct {
+	buf bytes.Buffer
+}
+
+func (w *writer) table(name string) { fmt.Fprintf(&w.buf, "\n[[%s]]\n", name) }
+
+func (w *writer) text(key, s string) { fmt.Fprintf(&w.buf, "%s = %s\n", key, quote(s)) }
+
+func (w *writer) number(key string, n float64) {
+	fmt.Fprintf(&w.buf, "%s = %s\n", key, formatNumber(n))
+}
+
+// formatNumber writes whole numbers without an exponent, as operators do.
+func formatNumber(n float64) string {
+	if n == float64(int64(n)) && n < 1e15 && n > -1e15 {
+		return strconv.FormatInt(int64(n), 10)
+	}
+	return strconv.FormatFloat(n, 'g', -1, 64)
+}
+
+func (w *writer) list(key string, items []string) {
+	quoted := make([]string, len(items))
+	for i, s := range items {
+		quoted[i] = quote(s)
+	}
+	fmt.Fprintf(&w.buf, "%s = [%s]\n", key, strings.Join(quoted, ", "))
+}
+
+func (w *writer) operations(key string, ops []Operation) {
+	if len(ops) == 0 {
+		return
+	}
+	items := make([]string, len(ops))
+	for i, o := range ops {
+		items[i] = o.String()
+	}
+	w.list(key, items)
+}
+
+func (w *writer) formatPlaces(inv *Inventory) {
+	for _, r := range inv.Regions {
+		w.table("region")
+		w.text("name", r.Name)
+		w.list("domains", r.Domains)
+	}
+	for _, h := range inv.Hosts {
+		w.table("host")
+		w.text("name", h.Name)
+		w.text("region", h.Region)
+		w.text("domain", h.Domain)
+		w.text("caller", h.Caller.String())
+		w.text("peer", h.Peer.String())
+	}
+	for _, b := range inv.Blocks {
+		w.table("block")
+		w.text("prefix", b.Prefix.String())
+		w.text("region", b.Region)
+	}
+	for _, l := range inv.Links {
+		w.table("link")
+		w.text("from", l.From)
+		w.text("to", l.To)
+		w.number("bytes", l.Bytes)
+	}
+}
+
+func (w *writer) formatServices(inv *Inventory) {
+	for _, s := range inv.Services {
+		w.table("service")
+		w.text("name", s.Name)
+		w.list("regions", s.Regions)
+		w.operations("reads", s.Reads)
+		w.operations("actions", s.Actions)
+		w.text("deadline", s.Deadline.String())
+	}
+}
+
+func (w *writer) formatRules(inv *Inventory) {
+	for _, s := range inv.Shifts {
+		w.table("shift")
+		w.text("service", s.Service)
+		w.text("from", s.From)
+		w.text("to", s.To)
+		fmt.Fprintf(&w.buf, "allow = %t\n", s.Allow)
+		w.number("requests", s.Requests)
+		w.number("bytes", s.Bytes)
+	}
+	for _, d := range inv.Drains {
+		w.drain(d)
+	}
+}
+
+func (w *writer) drain(d Drain) {
+	w.table("drain")
+	w.text("kind", string(d.Kind))
+	w.text("name", d.Name)
+	w.number("share", d.Share)
+}
+
+// quote returns a TOML basic string. Control characters, which Parse refuses
+// in all names, are escaped so that the document stays well-formed.
+func quote(s string) string {
+	var b strings.Builder
+	b.WriteByte('"')
+	for _, r := range s {
+		switch {
+		case r == '"' || r == '\\':
+			b.WriteByte('\\')
+			b.WriteRune(r)
+		case r < ' ' || r == 0x7f:
+			fmt.Fprintf(&b, `\u%04X`, r)
+		default:
+			b.WriteRune(r)
+		}
+	}
+	b.WriteByte('"')
+	return b.String()
+}
--- /dev/null
+++ b/core/agateinventory/parse.go
@@ -0,0 +1,147 @@
+package agateinventory
+
+import (
+	"net/netip"
+	"time"
+
+	"agategate/internal/agatestrict"
+)
+
+// MaxBytes is the size of the largest document.
+const MaxBytes = agatestrict.MaxBytes
+
+// Problem is one reason why a document is refused, with file, line, key and
+// text.
+type Problem = agatestrict.Problem
+
+// Problems is every reason why a document is refused. It is an error.
+type Problems = agatestrict.Problems
+
+type document struct {
+	At      agatestrict.Place
+	Target  float64        `toml:"target"`
+	Eject   float64        `toml:"eject"`
+	Retire  []string       `toml:"retire"`
+	Region  []regionTable  `toml:"region"`
+	Service []serviceTable `toml:"service"`
+	Host    []hostTable    `toml:"host"`
+	Block   []blockTable   `toml:"block"`
+	Link    []linkTable    `toml:"link"`
+	Shift   []shiftTable   `toml:"shift"`
+	Drain   []drainTable   `toml:"drain"`
+}
+
+type regionTable struct {
+	At      agatestrict.Place
+	Name    string   `toml:"name,required"`
+	Domains []string `toml:"domains,required"`
+}
+
+type serviceTable struct {
+	At       agatestrict.Place
+	Name     string        `toml:"name,required"`
+	Regions  []string      `toml:"regions,required"`
+	Reads    []Operation   `toml:"reads"`
+	Actions  []Operation   `toml:"actions"`
+	Deadline time.Duration `toml:"deadline" min:"1ms" max:"10m"`
+}
+
+type hostTable struct {
+	At     agatestrict.Place
+	Name   string         `toml:"name,required"`
+	Region string         `toml:"region,required"`
+	Domain string         `toml:"domain,required"`
+	Caller netip.AddrPort `toml:"caller,required"`
+	Peer   netip.AddrPort `toml:"peer,required"`
+}
+
+type blockTable struct {
+	At     agatestrict.Place
+	Prefix netip.Prefix `toml:"prefix,required"`
+	Region string       `toml:"region,required"`
+}
+
+type linkTable struct {
+	At    agatestrict.Place
+	From  string  `toml:"from,required"`
+	To    string  `toml:"to,required"`
+	Bytes float64 `toml:"bytes,required" min:"1"`
+}
+
+type shiftTable struct {
+	At       agatestrict.Place
+	Service  string  `toml:"service,required"`
+	From     string  `toml:"from,required"`
+	To       string  `toml:"to,required"`
+	Allow    bool    `toml:"allow,required"`
+	Requests float64 `toml:"requests" min:"0"`
+	Bytes    float64 `toml:"bytes" min:"0"`
+}
+
+type drainTable struct {
+	At    agatestrict.Place
+	Kind  string  `toml:"kind,required"`
+	Name  string  `toml:"name,required"`
+	Share float64 `toml:"share"`
+}
+
+// Parse reads a document strictly. It returns either an inventory or every
+// problem that it found. The file names the document in the problems and is
+// not opened. Parse keeps no reference to data.
+func Parse(file string, data []byte) (*Inventory, Problems) {
+	doc := agatestrict.Read(file, data)
+	if doc.Partial() {
+		return nil, doc.Problems()
+	}
+	wire := document{Target: DefaultTarget, Eject: DefaultEject}
+	doc.Decode(&wire)
+	newChecker(&wire).check()
+	if problems := doc.Problems(); len(problems) > 0 {
+		return nil, problems
+	}
+	return wire.inventory(), nil
+}
+
+func (d *document) inventory() *Inventory {
+	inv := &Inventory{Target: d.Target, Eject: d.Eject}
+	inv.Retire = append(inv.Retire, d.Retire...)
+	for _, r := range d.Region {
+		inv.Regions = append(inv.Regions, Region{Name: r.Name, Domains: r.Domains})
+	}
+	for _, s := range d.Service {
+		inv.Services = append(inv.Services, s.service())
+	}
+	for _, h := range d.Host {
+		inv.Hosts = append(inv.Hosts, Host{Name: h.Name, Region: h.Region, Domain: h.Domain, Caller: h.Caller, Peer: h.Peer})
+	}
+	for _, b := range d.Block {
+		inv.Blocks = append(inv.Blocks, Block{Prefix: b.Prefix, Region: b.Region})
+	}
+	for _, l := range d.Link {
+		inv.Links = append(inv.Links, Link{From: l.From, To: l.To, Bytes: l.Bytes})
+	}
+	for _, s := range d.Shift {
+		inv.Shifts = append(inv.Shifts, Shift{Service: s.Service, From: s.From, To: s.To, Allow: s.Allow, Requests: s.Requests, Bytes: s.Bytes})
+	}
+	for _, dr := range d.Drain {
+		inv.Drains = append(inv.Drains, Drain{Kind: DrainKind(dr.Kind), Name: dr.Name, Share: dr.share()})
+	}
+	return inv
+}
+
+func (t *serviceTable) service() Service {
+	s := Service{Name: t.Name, Regions: t.Regions, Deadline: t.Deadline}
+	s.Reads = append(s.Reads, t.Reads...)
+	s.Actions = append(s.Actions, t.Actions...)
+	if s.Deadline == 0 {
+		s.Deadline = DefaultDeadline
+	}
+	return s
+}
+
+func (t *drainTable) share() float64 {
+	if !t.At.Has("share") {
+		return 1
+	}
+	return t.Share
+}
--- /dev/null
+++ b/internal/agatestrict/value.go
@@ -0,0 +1,106 @@
+package agatestrict
+
+import "strconv"
+
+type kind uint8
+
+const (
+	kindTable kind = iota
+	kindList
+	kindString
+	kindInteger
+	kindFloat
+	kindBool
+	kindDate
+)
+
+func (k kind) String() string {
+	return [...]string{"a table", "a list", "a string", "an integer", "a number", "a boolean", "a date or time"}[k]
+}
+
+// origin says how a table came into being, because that decides what may be
+// added to it.
+type origin uint8
+
+const (
+	implied   origin = iota // by a longer header
+	headed                  // by its own header
+	dotted                  // by a dotted key
+	sealed                  // inline; nothing may be added
+	elemental               // a list of [[headers]]
+)
+
+// value is a part of a document with its position.
+type value struct {
+	kind   kind
+	origin origin
+	// bad marks a value with a reported problem, so that one fault is not
+	// reported twice.
+	bad    bool
+	line   int32
+	text   string
+	fields []field
+	index  map[string]*value
+	items  []*value
+}
+
+type field struct {
+	name  string
+	value *value
+}
+
+// indexFrom is the number of fields from which a table has an index; a short
+// scan needs less memory than a map.
+const indexFrom = 8
+
+func (v *value) get(name string) *value {
+	if v.index != nil {
+		return v.index[name]
+	}
+	for _, f := range v.fields {
+		if f.name == name {
+			return f.value
+		}
+	}
+	return nil
+}
+
+func (v *value) set(name string, child *value) {
+	v.fields = append(v.fields, field{name, child})
+	if v.index != nil {
+		v.index[name] = child
+		return
+	}
+	if len(v.fields) < indexFrom {
+		return
+	}
+	v.index = make(map[string]*value, 2*indexFrom)
+	for _, f := range v.fields {
+		v.index[f.name] = f.value
+	}
+}
+
+// path is the way from the root to a value. A nil path is the root.
+type path struct {
+	parent *path
+	name   string
+	index  int // -1 for a key
+}
+
+func (p *path) key(name string) *path { return &path{parent: p, name: name, index: -1} }
+
+func (p *path) item(i int) *path { return &path{parent: p, index: i} }
+
+// String returns the path as in "service[0].name".
+func (p *path) String() string {
+	if p == nil {
+		return ""
+	}
+	if p.index >= 0 {
+		return p.parent.String() + "[" + strconv.Itoa(p.index) + "]"
+	}
+	if p.parent == nil {
+		return p.name
+	}
+	return p.parent.String() + "." + p.name
+}
