--- /dev/null
+++ b/io/agatereplica/group_test.go
@@ -0,0 +1,198 @@
+package agatereplica_test
+
+import (
+	"encoding/binary"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agategate/core/agatequorum"
+	"agategate/io/agatereplica"
+)
+
+// memStore is a store in memory whose fsync takes time and may fail.
+type memStore struct {
+	mu    sync.Mutex
+	saved agatequorum.Saved
+	fsync time.Duration
+	err   error
+	syncs int
+}
+
+func (s *memStore) sync() error {
+	time.Sleep(s.fsync)
+	s.syncs++
+	return s.err
+}
+
+func (s *memStore) Append(hard agatequorum.Hard, entries []agatequorum.Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.sync(); err != nil {
+		return err
+	}
+	s.saved.Hard = hard
+	if len(entries) > 0 {
+		keep := slices.IndexFunc(s.saved.Entries, func(e agatequorum.Entry) bool { return e.Index >= entries[0].Index })
+		if keep >= 0 {
+			s.saved.Entries = s.saved.Entries[:keep:keep]
+		}
+		s.saved.Entries = append(s.saved.Entries, entries...)
+	}
+	return nil
+}
+
+func (s *memStore) SaveSnapshot(sn agatequorum.Snapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.sync(); err != nil {
+		return err
+	}
+	agree := slices.ContainsFunc(s.saved.Entries, func(e agatequorum.Entry) bool { return e.Index == sn.Index && e.Term == sn.Term })
+	s.saved.Entries = slices.DeleteFunc(slices.Clone(s.saved.Entries), func(e agatequorum.Entry) bool { return !agree || e.Index <= sn.Index })
+	s.saved.Snapshot = sn
+	return nil
+}
+
+func (s *memStore) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
+// counter is a state machine that adds numbers and returns the sum.
+type counter struct{ sum uint64 }
+
+func (c *counter) apply(_ uint64, data []byte) []byte {
+	c.sum += binary.BigEndian.Uint64(data)
+	return binary.BigEndian.AppendUint64(nil, c.sum)
+}
+
+func (c *counter) snapshot() ([]byte, error) { return binary.BigEndian.AppendUint64(nil, c.sum), nil }
+
+func (c *counter) restore(data []byte) error {
+	c.sum = binary.BigEndian.Uint64(data)
+	return nil
+}
+
+func number(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
+
+// group is a group of replicas whose messages pass through the wire form.
+type group struct {
+	t        testing.TB
+	mu       sync.Mutex
+	start    time.Time
+	replicas map[uint64]*agatereplica.Replica
+	stores   map[uint64]*memStore
+	machines map[uint64]*counter
+	cut      map[uint64]bool
+	cfg      agatereplica.Config
+	fsync    time.Duration
+}
+
+func newGroup(t testing.TB, n int, cfg agatereplica.Config) *group {
+	g := &group{
+		t:        t,
+		start:    time.Now(),
+		replicas: map[uint64]*agatereplica.Replica{},
+		stores:   map[uint64]*memStore{},
+		machines: map[uint64]*counter{},
+		cut:      map[uint64]bool{},
+		cfg:      cfg,
+		fsync:    time.Millisecond,
+	}
+	for id := uint64(1); id <= uint64(n); id++ {
+		g.cfg.Bootstrap = append(g.cfg.Bootstrap, agatequorum.Member{ID: id})
+	}
+	return g
+}
+
+func (g *group) open(ids ...uint64) {
+	for _, id := range ids {
+		st := g.stores[id]
+		if st == nil {
+			st = &memStore{saved: agatequorum.Saved{Fresh: true}, fsync: g.fsync}
+			g.stores[id] = st
+		}
+		m := &counter{}
+		cfg := g.cfg
+		cfg.ID = id
+		cfg.Saved = st.saved
+		cfg.Saved.Entries = slices.Clone(st.saved.Entries)
+		cfg.Clock = func() time.Duration { return time.Since(g.start) }
+		cfg.Apply, cfg.Snapshot, cfg.Restore = m.apply, m.snapshot, m.restore
+		cfg.Append, cfg.SaveSnapshot = st.Append, st.SaveSnapshot
+		cfg.Send = func(to uint64, msg agatequorum.Message) { g.send(id, to, msg) }
+		r, err := agatereplica.Open(cfg)
+		assert.NilError(g.t, err)
+		g.mu.Lock()
+		g.replicas[id] = r
+		g.machines[id] = m
+		g.mu.Unlock()
+		st.saved.Fresh = false
+	}
+}
+
+func (g *group) send(from, to uint64, msg agatequorum.Message) {
+	data, err := agatereplica.EncodeMessage(msg)
+	assert.NilError(g.t, err)
+	g.mu.Lock()
+	r := g.replicas[to]
+	cut := g.cut[from] || g.cut[to]
+	g.mu.Unlock()
+	if r == nil || cut {
+		return
+	}
+	got, err := agatereplica.DecodeMessage(data)
+	assert.NilError(g.t, err)
+	r.Deliver(from, got)
+}
+
+func (g *group) close(ids ...uint64) {
+	for _, id := range ids {
+		g.mu.Lock()
+		r := g.replicas[id]
+		delete(g.replicas, id)
+		g.mu.Unlock()
+		assert.NilError(g.t, r.Close())
+	}
+}
+
+func (g *group) closeAll() {
+	for id := range g.stores {
+		if g.replicas[id] != nil {
+			g.close(id)
+		}
+	}
+}
+
+// leader waits until a connected replica leads.
+func (g *group) leader() *agatereplica.Replica {
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) {
+		for id, r := range g.replicas {
+			if !g.cut[id] && r.Status().Role == agatequorum.Leader {
+				return r
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	g.t.Fatal("no leader within 10 s")
+	return nil
+}
+
+// run runs a test of a group under virtual time.
+func run(t *testing.T, n int, cfg agatereplica.Config, test func(t *testing.T, g *group)) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, n, cfg)
+		for id := uint64(1); id <= uint64(n); id++ {
+			g.open(id)
+		}
+		test(t, g)
+		g.closeAll()
+	})
+}
--- /dev/null
+++ b/io/agatereplica/replica.go
@@ -0,0 +1,137 @@
+package agatereplica
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	"agategate/core/agatequorum"
+	"agategate/core/agatering"
+)
+
+// Replica is one running replica. Its methods are safe for concurrent use.
+type Replica struct {
+	cfg Config
+
+	asks    *agatering.Ring[*ask]
+	inbox   *agatering.Ring[agatequorum.Message]
+	writes  *agatering.Ring[*agatequorum.Write]
+	written *agatering.Ring[agatequorum.Done]
+	batches *agatering.Ring[batch]
+	reports *agatering.Ring[report]
+
+	status atomic.Pointer[Status]
+	stop   chan struct{}
+	once   sync.Once
+	duties sync.WaitGroup
+	// stopped is closed after the last duty ended.
+	stopped chan struct{}
+	fault   atomic.Pointer[error]
+}
+
+// Status is a replica's view of the group.
+type Status struct {
+	ID      uint64
+	Role    agatequorum.Role
+	Leader  uint64
+	Term    uint64
+	Commit  uint64
+	Applied uint64
+	Members agatequorum.Members
+	// Full says that the last write failed: the replica accepts no commands
+	// and still answers reads.
+	Full bool
+	// Dropped counts the messages of replicas that found the inbox full.
+	Dropped uint64
+}
+
+// Open starts a replica that continues from cfg.Saved. It is stopped with
+// Stop or Close.
+func Open(cfg Config) (*Replica, error) {
+	cfg, err := cfg.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{
+		cfg:     cfg,
+		asks:    agatering.New[*ask](agatering.Config{Size: cfg.Asks}),
+		inbox:   agatering.New[agatequorum.Message](agatering.Config{Size: cfg.Inbox}),
+		writes:  agatering.New[*agatequorum.Write](agatering.Config{Size: 1}),
+		written: agatering.New[agatequorum.Done](agatering.Config{Size: 2}),
+		batches: agatering.New[batch](agatering.Config{Size: 1}),
+		reports: agatering.New[report](agatering.Config{Size: 1}),
+		stop:    make(chan struct{}),
+		stopped: make(chan struct{}),
+	}
+	r.status.Store(&Status{ID: cfg.ID})
+	d := newDriver(r)
+	d.publish()
+	r.duties.Go(d.run)
+	r.duties.Go((&disk{r: r, hard: cfg.Saved.Hard}).run)
+	r.duties.Go((&machine{r: r}).run)
+	go r.await()
+	return r, nil
+}
+
+// await tells the callers once all duties have ended.
+func (r *Replica) await() {
+	r.duties.Wait()
+	close(r.stopped)
+}
+
+// Status returns the latest view. The members must not be changed.
+func (r *Replica) Status() Status { return *r.status.Load() }
+
+// Deliver hands over a message that another replica sent. It does not block;
+// a message that finds the inbox full is dropped, which replicas tolerate.
+func (r *Replica) Deliver(from uint64, m agatequorum.Message) {
+	if m.From != from {
+		return
+	}
+	r.inbox.Offer(m)
+}
+
+// Stop hands the lead over to another voter, if this replica leads, and then
+// closes it. When ctx ends first, it closes the replica at once.
+func (r *Replica) Stop(ctx context.Context) error {
+	a := newAsk(askYield)
+	if r.Status().Role == agatequorum.Leader && r.asks.Offer(a) {
+		select {
+		case <-a.answer:
+		case <-ctx.Done():
+		case <-r.stopped:
+		}
+	}
+	return r.Close()
+}
+
+// Close ends all duties at once and returns the fault that stopped the
+// replica, if there was one. Commands under way end with ErrUnknown.
+func (r *Replica) Close() error {
+	r.halt()
+	<-r.stopped
+	return r.Fault()
+}
+
+// Done is closed when the replica has stopped.
+func (r *Replica) Done() <-chan struct{} { return r.stopped }
+
+// Fault returns why the replica stopped by itself, or nil.
+func (r *Replica) Fault() error {
+	if err := r.fault.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+func (r *Replica) halt() { r.once.Do(func() { close(r.stop) }) }
+
+func (r *Replica) failed(err error) {
+	r.cfg.Logger.Error("replica stops", "error", err)
+	r.fault.CompareAndSwap(nil, &err)
+	r.halt()
+}
+
+// isBusy reports whether a membership change is worth another try.
+func isBusy(err error) bool { return errors.Is(err, ErrBusy) || errors.Is(err, ErrBehind) }
