--- /dev/null
+++ b/io/agatesettings/key.go
@@ -0,0 +1,133 @@
+package agatesettings
+
+import (
+	"flag"
+	"reflect"
+	"strings"
+	"time"
+)
+
+// prefix begins the names of environment variables.
+const prefix = "AGATEGATE_"
+
+// Settings is either kind of settings.
+type Settings interface{ Entry | Control }
+
+// Key describes one key of the settings.
+type Key struct {
+	Name    string
+	Type    string
+	Default string
+	Unit    string
+	Help    string
+	// Needed is set if the key has no default and must be given.
+	Needed bool
+	// Reload is set if a change is in force without a restart.
+	Reload bool
+
+	index []int
+	tag   reflect.StructTag
+}
+
+// Env returns the name of the environment variable, such as
+// AGATEGATE_LOG_LEVEL.
+func (k Key) Env() string {
+	return prefix + strings.ToUpper(strings.ReplaceAll(k.Name, ".", "_"))
+}
+
+// Keys returns the keys of a kind of settings in the order of the struct.
+func Keys[T Settings]() []Key {
+	return keysOf(reflect.TypeFor[T](), "", nil)
+}
+
+func keysOf(t reflect.Type, before string, index []int) []Key {
+	var keys []Key
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := before + f.Tag.Get("toml")
+		at := append(index[:len(index):len(index)], i)
+		if f.Type.Kind() == reflect.Struct && f.Type.PkgPath() == t.PkgPath() {
+			keys = append(keys, keysOf(f.Type, name+".", at)...)
+			continue
+		}
+		keys = append(keys, Key{
+			Name:    name,
+			Type:    typeName(f.Type),
+			Default: f.Tag.Get("default"),
+			Unit:    f.Tag.Get("unit"),
+			Help:    f.Tag.Get("help"),
+			Needed:  f.Tag.Get("need") == "yes",
+			Reload:  f.Tag.Get("reload") == "yes",
+			index:   at,
+			tag:     f.Tag,
+		})
+	}
+	return keys
+}
+
+func typeName(t reflect.Type) string {
+	switch {
+	case t.Kind() == reflect.Slice:
+		return "list of " + typeName(t.Elem())
+	case t == reflect.TypeFor[time.Duration]():
+		return "duration"
+	case t.PkgPath() == "net/netip":
+		return "address"
+	case t == reflect.TypeFor[Member]():
+		return "name=address"
+	case t.Kind() == reflect.Float64:
+		return "number"
+	case t.Kind() == reflect.Int:
+		return "integer"
+	case t.Kind() == reflect.Bool:
+		return "boolean"
+	}
+	return "string"
+}
+
+// Flags collects the values that a command line sets.
+type Flags struct {
+	values map[string]string
+}
+
+// Register defines one flag for each key of a kind of settings.
+func Register[T Settings](fs *flag.FlagSet) *Flags {
+	f := &Flags{values: make(map[string]string)}
+	for _, k := range Keys[T]() {
+		help := k.Help
+		if k.Default != "" {
+			help += " (default " + k.Default + ")"
+		}
+		set := func(text string) error {
+			f.values[k.Name] = text
+			return nil
+		}
+		if k.Type == "boolean" {
+			fs.BoolFunc(k.Name, help, set)
+			continue
+		}
+		fs.Func(k.Name, help, set)
+	}
+	return f
+}
+
+// Values returns the text of each flag that was given by its key.
+func (f *Flags) Values() map[string]string { return f.values }
+
+// Reload compares two settings. It returns the keys that changed: applied
+// lists those that take effect while the process runs, restart those that
+// need a restart.
+func Reload[T Settings](old, updated T) (applied, restart []string) {
+	a, b := reflect.ValueOf(old), reflect.ValueOf(updated)
+	for _, k := range Keys[T]() {
+		x, y := a.FieldByIndex(k.index).Interface(), b.FieldByIndex(k.index).Interface()
+		switch {
+		case reflect.DeepEqual(x, y):
+		case k.Reload:
+			applied = append(applied, k.Name)
+		default:
+			restart = append(restart, k.Name)
+		}
+	}
+	return applied, restart
+}
