--- a/io/agatesettings/key.go
+++ b/io/agatesettings/key.go
@@ -131,3 +131,16 @@
 	}
 	return applied, restart
 }
+
+// Merge returns old with the values of updated for the keys that take effect
+// while the process runs.
+func Merge[T Settings](old, updated T) T {
+	merged := old
+	from, to := reflect.ValueOf(updated), reflect.ValueOf(&merged).Elem()
+	for _, k := range Keys[T]() {
+		if k.Reload {
+			to.FieldByIndex(k.index).Set(from.FieldByIndex(k.index))
+		}
+	}
+	return merged
+}
--- a/io/agatesettings/settings.go
+++ b/io/agatesettings/settings.go
@@ -121,6 +121,9 @@
 	Ring   int     `toml:"ring" default:"4096" unit:"decisions" min:"16" max:"1000000" help:"decisions kept in memory for explain"`
 }
 
+// Skip returns the share of routine decisions that are not written.
+func (l Log) Skip() float64 { return 1 - l.Sample }
+
 // Member is one initial member of the control group.
 type Member struct {
 	Name    string
--- a/io/agatesettings/settings_test.go
+++ b/io/agatesettings/settings_test.go
@@ -98,6 +98,9 @@
 	applied, restart := agatesettings.Reload(a, b)
 	assert.DeepEqual(t, applied, []string{"grace", "log.level"})
 	assert.DeepEqual(t, restart, []string{"name", "log.format"})
+	merged := agatesettings.Merge(a, b)
+	assert.Equal(t, merged.Name, "a")
+	assert.Equal(t, merged.Log.Level, "debug")
 	applied, restart = agatesettings.Reload(b, b)
 	assert.Equal(t, len(applied)+len(restart), 0)
 }
