--- a/core/agatequorum/core.go
+++ b/core/agatequorum/core.go
@@ -31,6 +31,8 @@
 	contact  time.Duration
 	deadline time.Duration
 	votes    map[uint64]bool
+	// rounds counts the vote rounds since a leader was last heard.
+	rounds int
 	// ordered marks an election that the leader told the replica to start.
 	ordered bool
 
@@ -120,8 +122,14 @@
 	}
 }
 
+// maxBackoff bounds the doubling of the random part of the election timeout.
+const maxBackoff = 3
+
+// resetDeadline draws a new election timeout. Its random part grows with each
+// vote round that elected nobody: with slow disks or many candidates a round
+// may need longer than the first timeout.
 func (c *Core) resetDeadline() {
-	spread := uint64(c.cfg.ElectionMax - c.cfg.ElectionMin)
+	spread := uint64(c.cfg.ElectionMax-c.cfg.ElectionMin) << min(max(c.rounds-1, 0), maxBackoff)
 	wait := c.cfg.ElectionMin
 	if spread > 0 {
 		wait += time.Duration(c.cfg.Rand() % spread)
@@ -214,6 +222,7 @@
 		c.becomeFollower(c.term, m.From)
 	}
 	c.contact = c.now
+	c.rounds = 0
 	c.resetDeadline()
 }
 
--- a/core/agatequorum/election.go
+++ b/core/agatequorum/election.go
@@ -37,6 +37,7 @@
 	c.term++
 	c.vote = c.cfg.ID
 	c.votes = map[uint64]bool{}
+	c.rounds++
 	c.resetDeadline()
 	c.requestVotes(MessageVote, c.term)
 	// The own vote counts once it is durable.
--- a/core/agatequorum/leader.go
+++ b/core/agatequorum/leader.go
@@ -28,6 +28,7 @@
 	c.leader = c.cfg.ID
 	c.votes = nil
 	c.ordered = false
+	c.rounds = 0
 	c.lead = leading{heartbeat: c.now}
 	c.updatePeers()
 	c.lead.first = c.appendOwn(KindNoop, nil)
