--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -24,6 +24,10 @@
 	// as slower. Below it, the difference is within the noise of the mean.
 	slowFrom = 1.3
 
+	// farCost is the cost of leaving the failure domain, in units of the usual
+	// latency: about 2 ms of 20 ms for the way there and back.
+	farCost = 0.1
+
 	// firstExpected stands in for the latency before the first answer.
 	firstExpected = 5 * time.Millisecond
 )
@@ -156,8 +160,9 @@
 		if g.region == r.Region || !g.takesShift(now) {
 			continue
 		}
-		if used := (g.load() + 1) / g.slots; used <= lowest {
-			best, lowest = g, used
+		g.note(now)
+		if g.load() < g.slots && g.used.mean < lowest {
+			best, lowest = g, g.used.mean
 		}
 	}
 	if best == nil {
@@ -267,6 +272,9 @@
 // cost is the expected time to answer in units of the group's usual latency.
 func (u *upstream) cost(n float64, v *view, c agateinventory.Class) float64 {
 	cost := u.ratio(v.normal) * (n + 1) / u.slots
+	if !u.near {
+		cost += farCost
+	}
 	if u.failures > 0 {
 		cost *= 1 + float64(u.failures)
 	}
--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -17,6 +17,7 @@
 	if u == nil {
 		return
 	}
+	u.group.note(now)
 	u.own++
 	u.group.own++
 }
@@ -28,6 +29,7 @@
 		return
 	}
 	held := t.load(now, u)
+	u.group.note(now)
 	u.own--
 	u.group.own--
 	if o.Alone && u.alone > 0 {
--- a/core/agateroute/group.go
+++ b/core/agateroute/group.go
@@ -1,6 +1,7 @@
 package agateroute
 
 import (
+	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -45,6 +46,7 @@
 	latency   latency
 	queue     queue
 	demand    rate
+	used      utilisation
 	shift     ramp // overflow that comes in from other regions
 	shiftOwn  int
 	shiftAt   time.Time
@@ -177,3 +179,30 @@
 	r.roll(now)
 	return r.previous
 }
+
+// usedTime is the time over which the utilisation of a region is averaged.
+// Requests in flight vary by a third within one answer time, which says
+// nothing of the load.
+const usedTime = 500 * time.Millisecond
+
+// utilisation is the mean share of slots in use, weighted towards now.
+type utilisation struct {
+	at   time.Time
+	mean float64
+}
+
+// note accounts for the time since the last note, during which n requests
+// were in flight at some slots.
+func (u *utilisation) note(now time.Time, n, slots float64) {
+	past := now.Sub(u.at)
+	u.at = now
+	if past <= 0 || slots <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-past.Seconds()/usedTime.Seconds())
+	u.mean += (min(1, n/slots) - u.mean) * weight
+}
+
+func (g *group) note(now time.Time) {
+	g.used.note(now, g.load(), g.slots)
+}
--- a/core/agateroute/peers.go
+++ b/core/agateroute/peers.go
@@ -83,6 +83,9 @@
 	if x.Epoch < p.epoch || (x.Epoch == p.epoch && at.Before(p.at)) {
 		return
 	}
+	for _, g := range t.groups {
+		g.note(now)
+	}
 	p.epoch, p.at = x.Epoch, at
 	t.replace(p, x.InFlight)
 	t.averagePeers(now)
--- a/core/agateroute/policy_test.go
+++ b/core/agateroute/policy_test.go
@@ -186,6 +186,7 @@
 	b.ReportMetric(o.topLoad, "load")
 	b.ReportMetric(o.topHeld, "held")
 	b.ReportMetric(o.topShift, "shift")
+	b.ReportMetric(o.topUsed, "used")
 	b.ReportMetric(float64(o.refused), "refused")
 	b.ReportMetric(float64(o.shed), "shed")
 	var longest time.Duration
@@ -193,5 +194,6 @@
 		longest = max(longest, d)
 	}
 	b.ReportMetric(ms(longest), "drainms")
+	b.Logf("reasons %v, events %v, retries %d, hedges %d, crashes %d", o.reasons, o.events, o.retries, o.hedges, o.crashes)
 	b.ReportMetric(ms(o.newAfter), "newms")
 }
--- a/core/agateroute/sim_test.go
+++ b/core/agateroute/sim_test.go
@@ -153,6 +153,8 @@
 	running bool
 	run     int // incarnation that executes it
 	hedge   bool
+	began   time.Duration
+	ends    time.Duration
 }
 
 // simUp is the stand-in for an upstream: slots, a bounded queue in front of
@@ -209,6 +211,7 @@
 	a.run = int(u.incarnation)
 	if len(u.waiting) >= shedFactor*u.slots {
 		u.s.out.shed++
+		u.s.out.addWork(u, -a.r.work.Seconds())
 		u.reply(a, Shed)
 		return
 	}
@@ -222,6 +225,7 @@
 		a := u.waiting[0]
 		u.waiting = u.waiting[1:]
 		if u.s.now >= a.r.deadline {
+			u.s.out.addWork(u, -a.r.work.Seconds())
 			u.reply(a, TimedOut)
 			continue
 		}
@@ -233,6 +237,7 @@
 		}
 		took := time.Duration(float64(a.r.work) * u.slowness())
 		u.answers++
+		a.began, a.ends = u.s.now, u.s.now+took
 		u.s.at(took, func() { u.finish(a) })
 	}
 }
@@ -261,11 +266,14 @@
 	for i, b := range u.waiting {
 		if a == b {
 			u.waiting = append(u.waiting[:i], u.waiting[i+1:]...)
+			u.s.out.addWork(u, -a.r.work.Seconds())
 			return
 		}
 	}
 	if a.running && a.run == int(u.incarnation) {
 		u.free(a)
+		left := float64(a.ends-u.s.now) / float64(a.ends-a.began)
+		u.s.out.addWork(u, -left*a.r.work.Seconds())
 		u.work()
 	}
 }
--- a/core/agateroute/table.go
+++ b/core/agateroute/table.go
@@ -25,6 +25,8 @@
 	Host string
 	// Region is the region of this entry host.
 	Region string
+	// Domain is the failure domain of this entry host.
+	Domain string
 	// Hosts is the number of entry hosts while the inventory lists none. The
 	// default is 1.
 	Hosts int
@@ -135,6 +137,7 @@
 		}
 	}
 	u.share = max(1, u.last.Connections/t.cfg.Hosts)
+	u.near = u.last.Domain == t.cfg.Domain && u.last.Region == t.cfg.Region
 	u.group.recount(u)
 }
 
--- a/core/agateroute/upstream.go
+++ b/core/agateroute/upstream.go
@@ -61,6 +61,7 @@
 	failures   int
 	hold       [2]time.Time // by class: no new work until then
 	retired    bool
+	near       bool // in the failure domain of this entry host
 	drains     []staged
 	drainSince time.Time // zero while no drain runs
 	drainDone  bool
