agateroute: requests on the way to another region are not load there

Cause: 40 of the 60 ms of an answer from another region are travel, so own and peers' overflow in flight counted three times and closed the overflow gate. Expected times also contained the penalties that only rank upstreams, which refused requests after a crash. Change: the part of the answer time at the upstream is measured against the home region and exported with the counts; the expected time has no penalties.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"agategate/core/agateinventory"
 )
 
 const (
@@ -36,6 +34,7 @@
 type pick struct {
 	best       *upstream
 	cost       float64
+	held       float64 // requests in flight at the best
 	considered int
 	busy       int // at their limit
 	away       int // kept away by drains
@@ -108,7 +107,7 @@
 	if p.best == nil {
 		return Decision{}, false
 	}
-	expected := g.expected(p.best, p.cost)
+	expected := g.expected(p.best, p.held)
 	if expected > r.Deadline.Sub(now) {
 		return Decision{}, false
 	}
@@ -237,8 +236,8 @@
 		p.busy++
 		return
 	}
-	if c := u.cost(n, v, r.Class); c < p.cost {
-		p.best, p.cost = u, c
+	if c := u.cost(n, v); c < p.cost {
+		p.best, p.cost, p.held = u, c, n
 	}
 }
 
@@ -261,7 +260,7 @@
 	if u.own >= u.share {
 		return false
 	}
-	if !u.ramp.warm && float64(u.own+u.peers) >= u.ramp.open {
+	if !u.ramp.warm && float64(u.own)+u.peers >= u.ramp.open {
 		return false
 	}
 	limit := u.slots * excess
@@ -270,7 +269,7 @@
 }
 
 // cost is the expected time to answer in units of the group's usual latency.
-func (u *upstream) cost(n float64, v *view, c agateinventory.Class) float64 {
+func (u *upstream) cost(n float64, v *view) float64 {
 	cost := u.ratio(v.normal) * (n + 1) / u.slots
 	if !u.near {
 		cost += farCost
@@ -296,8 +295,9 @@
 // ratioEnough is the number of answers from which a mean is trusted.
 const ratioEnough = 8
 
-// expected is the expected time to the answer of an upstream.
-func (g *group) expected(u *upstream, cost float64) time.Duration {
+// expected is the expected time to the answer of an upstream that already has
+// n requests in flight.
+func (g *group) expected(u *upstream, n float64) time.Duration {
 	usual := g.latency.normal.mean
 	if g.latency.normal.n == 0 {
 		return firstExpected
@@ -305,7 +305,7 @@
 	if u.latency.n >= ratioEnough {
 		usual = u.latency.mean
 	}
-	return time.Duration(usual * max(1, cost) * float64(time.Second))
+	return time.Duration(usual * max(1, (n+1)/u.slots) * float64(time.Second))
 }
 
 // takesShift reports whether a cold region's ramp leaves room for one more
@@ -317,7 +317,8 @@
 	return g.slots > 0 && (g.shift.warm || float64(g.shiftOwn) < g.shift.open)
 }
 
-// load is the number of requests in flight over all entry hosts as known.
+// load is the number of requests at the upstreams over all entry hosts as
+// known.
 func (g *group) load() float64 {
-	return float64(g.own + g.peers)
+	return float64(g.own)*g.present + g.peers
 }
--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -74,6 +74,7 @@
 		g.latency.whole.add(seconds, groupWindow)
 		g.latency.record(now, o.Latency)
 	}
+	t.measurePresent(g)
 	u.ramp.answered(intime, u.slots*excess)
 	if o.Home != "" && o.Home != g.region {
 		g.shift.answered(intime, g.slots)
@@ -91,3 +92,15 @@
 		t.eject(now, u, EventEjectFailures)
 	}
 }
+
+// measurePresent estimates how much of the answer time of another region its
+// upstreams are in use. The rest, against the home region, is travel.
+func (t *Table) measurePresent(g *group) {
+	home := g.service.groups[t.cfg.Region]
+	if g.region == t.cfg.Region || home == nil || home.latency.normal.n < ratioEnough {
+		return
+	}
+	if normal := g.latency.normal.mean; normal > 0 {
+		g.present = min(1, home.latency.normal.mean/normal)
+	}
+}
--- a/core/agateroute/group.go
+++ b/core/agateroute/group.go
@@ -40,7 +40,8 @@
 	region    string
 	upstreams []*upstream
 	own       int     // in flight from this entry host
-	peers     int     // in flight from the others as reported
+	peers     float64 // at upstreams from the others as reported
+	present   float64 // part of the answer time that own requests are at upstreams
 	sharing   int     // other entry hosts that reported requests in flight
 	slots     float64 // of the upstreams that take new work
 	latency   latency
@@ -59,6 +60,7 @@
 		queue:   newQueue(bound),
 		latency: newLatency(),
 		shift:   ramp{open: 1},
+		present: 1,
 	}
 }
 
--- a/core/agateroute/peers.go
+++ b/core/agateroute/peers.go
@@ -19,6 +19,21 @@
 type Count struct {
 	ID       UpstreamID
 	InFlight int
+	// Present is the part of InFlight that is at the upstream and not on its
+	// way to or from another region. Zero means all.
+	Present float64
+}
+
+// presentStep is the unit of Count.Present. Multiples of it add up without
+// rounding, so the order of addition does not matter.
+const presentStep = 1.0 / 16
+
+// present is the part of a count that uses the upstream.
+func (c Count) present() float64 {
+	if c.Present <= 0 {
+		return float64(c.InFlight)
+	}
+	return math.Ceil(min(c.Present, float64(c.InFlight))/presentStep) * presentStep
 }
 
 // Exchange is what one entry host tells another.
@@ -43,7 +58,7 @@
 type peer struct {
 	epoch  uint64
 	at     time.Time
-	counts map[UpstreamID]int
+	counts map[UpstreamID]float64
 	groups map[*group]int // where it has requests in flight
 }
 
@@ -59,7 +74,9 @@
 			x.Announcements = append(x.Announcements, a)
 		}
 		if u.own > 0 {
-			x.InFlight = append(x.InFlight, Count{ID: u.id, InFlight: u.own})
+			x.InFlight = append(x.InFlight, Count{
+				ID: u.id, InFlight: u.own, Present: float64(u.own) * u.group.present,
+			})
 		}
 	}
 	return x
@@ -77,7 +94,7 @@
 	at := now.Add(-max(0, x.Age))
 	p := t.peers[x.Host]
 	if p == nil {
-		p = &peer{counts: map[UpstreamID]int{}, groups: map[*group]int{}}
+		p = &peer{counts: map[UpstreamID]float64{}, groups: map[*group]int{}}
 		t.peers[x.Host] = p
 	}
 	if x.Epoch < p.epoch || (x.Epoch == p.epoch && at.Before(p.at)) {
@@ -112,8 +129,8 @@
 	clear(p.groups)
 	for _, c := range counts {
 		if c.InFlight > 0 {
-			p.counts[c.ID] += c.InFlight
-			t.addPeers(c.ID, c.InFlight)
+			p.counts[c.ID] += c.present()
+			t.addPeers(c.ID, c.present())
 			p.share(t.upstreams[c.ID])
 		}
 	}
@@ -130,7 +147,7 @@
 	p.groups[u.group]++
 }
 
-func (t *Table) addPeers(id UpstreamID, n int) {
+func (t *Table) addPeers(id UpstreamID, n float64) {
 	if u := t.upstreams[id]; u != nil {
 		u.peers += n
 		u.group.peers += n
@@ -153,13 +170,14 @@
 	perSlot float64 // peers' requests in flight per slot, over the group
 	fresh   float64 // weight of a peer's count for a single upstream, 0..1
 	hosts   float64 // entry hosts that share the group
+	present float64 // part of own requests in flight that are at upstreams
 }
 
 // view prepares the numbers that are the same for all upstreams of a group.
 func (t *Table) view(now time.Time, g *group) view {
-	v := view{normal: g.latency.normal.mean, hosts: 1}
+	v := view{normal: g.latency.normal.mean, hosts: 1, present: g.present}
 	if g.slots > 0 {
-		v.perSlot = float64(g.peers) / g.slots
+		v.perSlot = g.peers / g.slots
 	}
 	v.hosts += float64(g.sharing)
 	v.fresh = t.freshness(now, g)
@@ -184,7 +202,7 @@
 func (v *view) inFlight(u *upstream) float64 {
 	even := v.perSlot * u.slots
 	if !u.ramp.warm {
-		even = float64(u.peers)
+		even = u.peers
 	}
-	return float64(u.own) + even + (float64(u.peers)-even)*v.fresh
+	return float64(u.own)*v.present + even + (u.peers-even)*v.fresh
 }
--- a/core/agateroute/policy_test.go
+++ b/core/agateroute/policy_test.go
@@ -138,7 +138,7 @@
 			return a
 		}},
 		{name: "own+peers", rule: func(h *simHost, c []*upstream) *upstream {
-			return lowest(h, c, func(u *upstream) float64 { return float64(u.own+u.peers) / u.slots })
+			return lowest(h, c, func(u *upstream) float64 { return (float64(u.own) + u.peers) / u.slots })
 		}},
 		{name: "own+report", rule: func(h *simHost, c []*upstream) *upstream {
 			return lowest(h, c, func(u *upstream) float64 {
--- a/core/agateroute/upstream.go
+++ b/core/agateroute/upstream.go
@@ -43,9 +43,9 @@
 	lapsed  bool
 
 	// own is the number of requests in flight from this entry host, and peers
-	// that from the others as last reported.
+	// that of the others that are at the upstream as last reported.
 	own     int
-	peers   int
+	peers   float64
 	share   int // connections of this entry host
 	alone   int // suspects in flight
 	slots   float64
--- a/core/agateroute/usage.go
+++ b/core/agateroute/usage.go
@@ -39,7 +39,7 @@
 		Service:  g.service.name,
 		Region:   g.region,
 		Slots:    int(g.slots),
-		InFlight: g.own + g.peers,
+		InFlight: g.own + int(g.peers),
 		Own:      g.own,
 		Waiting:  g.queue.len(),
 		Demand:   g.demand.value(now),
