--- /dev/null
+++ b/core/agatestate/codec.go
@@ -0,0 +1,283 @@
+package agatestate
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ErrMalformed is wrapped by errors about bytes that hold no command or no
+// result of this version.
+var ErrMalformed = errors.New("agatestate: malformed")
+
+// codecVersion is the first byte of each command and result. Replicas give
+// the verdict Invalid to a version that they do not know.
+const codecVersion = 1
+
+var (
+	encoder = must(cbor.CoreDetEncOptions().EncMode())
+	decoder = must(cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	}.DecMode())
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(fmt.Sprintf("agatestate: cbor options: %v", err))
+	}
+	return v
+}
+
+// The wire types have the fields of the exported types in the same order,
+// so that one converts into the other.
+type (
+	wireCommand struct {
+		Now       int64          `cbor:"1,keyasint,omitempty"`
+		Configure *wireConfigure `cbor:"2,keyasint,omitempty"`
+		Claim     *wireClaim     `cbor:"3,keyasint,omitempty"`
+		Finish    *wireFinish    `cbor:"4,keyasint,omitempty"`
+		Release   *wireRelease   `cbor:"5,keyasint,omitempty"`
+		Refuse    *wireRefuse    `cbor:"6,keyasint,omitempty"`
+		Expire    *wireExpire    `cbor:"7,keyasint,omitempty"`
+		Death     *wireDeath     `cbor:"8,keyasint,omitempty"`
+		Probe     *wireProbe     `cbor:"9,keyasint,omitempty"`
+		Settle    *wireSettle    `cbor:"10,keyasint,omitempty"`
+	}
+	wireConfigure struct {
+		Change   string `cbor:"1,keyasint"`
+		Base     uint64 `cbor:"2,keyasint,omitempty"`
+		Document []byte `cbor:"3,keyasint,omitempty"`
+		Operator string `cbor:"4,keyasint,omitempty"`
+	}
+	wireClaim struct {
+		Service  string        `cbor:"1,keyasint"`
+		Key      string        `cbor:"2,keyasint"`
+		Payload  Payload       `cbor:"3,keyasint"`
+		Holder   string        `cbor:"4,keyasint"`
+		Epoch    uint64        `cbor:"5,keyasint,omitempty"`
+		Token    Token         `cbor:"6,keyasint"`
+		Deadline time.Duration `cbor:"7,keyasint"`
+		Seen     uint64        `cbor:"8,keyasint,omitempty"`
+	}
+	wireFinish struct {
+		Service string     `cbor:"1,keyasint"`
+		Key     string     `cbor:"2,keyasint"`
+		Token   Token      `cbor:"3,keyasint"`
+		Answer  wireAnswer `cbor:"4,keyasint"`
+	}
+	wireAnswer struct {
+		Status int         `cbor:"1,keyasint,omitempty"`
+		Header []wireField `cbor:"2,keyasint,omitempty"`
+		Body   []byte      `cbor:"3,keyasint,omitempty"`
+	}
+	wireField struct {
+		_     struct{} `cbor:",toarray"`
+		Name  string
+		Value string
+	}
+	wireRelease struct {
+		Service string  `cbor:"1,keyasint"`
+		Key     string  `cbor:"2,keyasint"`
+		Payload Payload `cbor:"3,keyasint"`
+		Token   Token   `cbor:"4,keyasint"`
+	}
+	wireRefuse struct {
+		Service string  `cbor:"1,keyasint"`
+		Key     string  `cbor:"2,keyasint"`
+		Payload Payload `cbor:"3,keyasint"`
+	}
+	wireExpire struct {
+		Limit int `cbor:"1,keyasint,omitempty"`
+	}
+	wireDeath struct {
+		Host        string        `cbor:"1,keyasint,omitempty"`
+		Upstream    string        `cbor:"2,keyasint"`
+		Incarnation uint64        `cbor:"3,keyasint,omitempty"`
+		Prints      []Fingerprint `cbor:"4,keyasint,omitempty"`
+	}
+	wireProbe struct {
+		Print       Fingerprint   `cbor:"1,keyasint"`
+		Upstream    string        `cbor:"2,keyasint"`
+		Incarnation uint64        `cbor:"3,keyasint,omitempty"`
+		Holder      string        `cbor:"4,keyasint"`
+		Token       Token         `cbor:"5,keyasint"`
+		Timeout     time.Duration `cbor:"6,keyasint"`
+	}
+	wireSettle struct {
+		Print   Fingerprint `cbor:"1,keyasint"`
+		Token   Token       `cbor:"2,keyasint"`
+		Outcome Outcome     `cbor:"3,keyasint"`
+	}
+	wireResult struct {
+		Verdict    Verdict       `cbor:"1,keyasint"`
+		Index      uint64        `cbor:"2,keyasint,omitempty"`
+		RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
+		Revision   uint64        `cbor:"4,keyasint,omitempty"`
+		Change     string        `cbor:"5,keyasint,omitempty"`
+		Operator   string        `cbor:"6,keyasint,omitempty"`
+		Answer     *wireAnswer   `cbor:"7,keyasint,omitempty"`
+		Ran        bool          `cbor:"8,keyasint,omitempty"`
+		Count      int           `cbor:"9,keyasint,omitempty"`
+	}
+)
+
+// Encode returns the bytes of a command for the replicated log.
+func Encode(c Command) []byte {
+	w := wireCommand{
+		Now:       c.Now,
+		Configure: (*wireConfigure)(c.Configure),
+		Claim:     (*wireClaim)(c.Claim),
+		Release:   (*wireRelease)(c.Release),
+		Refuse:    (*wireRefuse)(c.Refuse),
+		Expire:    (*wireExpire)(c.Expire),
+		Death:     (*wireDeath)(c.Death),
+		Probe:     (*wireProbe)(c.Probe),
+		Settle:    (*wireSettle)(c.Settle),
+	}
+	if f := c.Finish; f != nil {
+		w.Finish = &wireFinish{Service: f.Service, Key: f.Key, Token: f.Token, Answer: *toWire(&f.Answer)}
+	}
+	return marshal(w)
+}
+
+// Decode returns the command in b. The error wraps ErrMalformed.
+func Decode(b []byte) (Command, error) {
+	var w wireCommand
+	if err := unmarshal(b, &w); err != nil {
+		return Command{}, err
+	}
+	c := Command{
+		Now:       w.Now,
+		Configure: (*Configure)(w.Configure),
+		Claim:     (*Claim)(w.Claim),
+		Release:   (*Release)(w.Release),
+		Refuse:    (*Refuse)(w.Refuse),
+		Expire:    (*Expire)(w.Expire),
+		Death:     (*Death)(w.Death),
+		Probe:     (*Probe)(w.Probe),
+		Settle:    (*Settle)(w.Settle),
+	}
+	if f := w.Finish; f != nil {
+		c.Finish = &Finish{Service: f.Service, Key: f.Key, Token: f.Token, Answer: *fromWire(&f.Answer)}
+	}
+	if !c.valid() {
+		return Command{}, fmt.Errorf("%w: not exactly one command within the limits", ErrMalformed)
+	}
+	return c, nil
+}
+
+// Stamp checks an encoded command that an entry host sent and replaces its
+// clock reading by now, so that only the clocks of control hosts move state
+// time. The error wraps ErrMalformed.
+func Stamp(b []byte, now time.Time) ([]byte, error) {
+	c, err := Decode(b)
+	if err != nil {
+		return nil, err
+	}
+	c.Now = now.UnixMilli()
+	return Encode(c), nil
+}
+
+// valid reports whether exactly one command is set and within the limits.
+func (c *Command) valid() bool {
+	sets, good := 0, 0
+	count := func(set bool, valid func() bool) {
+		if !set {
+			return
+		}
+		sets++
+		if valid() {
+			good++
+		}
+	}
+	count(c.Configure != nil, c.Configure.valid)
+	count(c.Claim != nil, c.Claim.valid)
+	count(c.Finish != nil, c.Finish.valid)
+	count(c.Release != nil, c.Release.valid)
+	count(c.Refuse != nil, c.Refuse.valid)
+	count(c.Expire != nil, c.Expire.valid)
+	count(c.Death != nil, c.Death.valid)
+	count(c.Probe != nil, c.Probe.valid)
+	count(c.Settle != nil, c.Settle.valid)
+	return sets == 1 && good == 1
+}
+
+// encodeResult returns the bytes that Apply hands back.
+func encodeResult(r Result) []byte {
+	return marshal(wireResult{
+		Verdict:    r.Verdict,
+		Index:      r.Index,
+		RetryAfter: r.RetryAfter,
+		Revision:   r.Revision,
+		Change:     r.Change,
+		Operator:   r.Operator,
+		Answer:     toWire(r.Answer),
+		Ran:        r.Ran,
+		Count:      r.Count,
+	})
+}
+
+// DecodeResult returns the result in b, which Apply returned. The error
+// wraps ErrMalformed.
+func DecodeResult(b []byte) (Result, error) {
+	var w wireResult
+	if err := unmarshal(b, &w); err != nil {
+		return Result{}, err
+	}
+	return Result{
+		Verdict:    w.Verdict,
+		Index:      w.Index,
+		RetryAfter: w.RetryAfter,
+		Revision:   w.Revision,
+		Change:     w.Change,
+		Operator:   w.Operator,
+		Answer:     fromWire(w.Answer),
+		Ran:        w.Ran,
+		Count:      w.Count,
+	}, nil
+}
+
+func toWire(a *Answer) *wireAnswer {
+	if a == nil {
+		return nil
+	}
+	w := &wireAnswer{Status: a.Status, Body: a.Body}
+	for _, f := range a.Header {
+		w.Header = append(w.Header, wireField{Name: f.Name, Value: f.Value})
+	}
+	return w
+}
+
+func fromWire(w *wireAnswer) *Answer {
+	if w == nil {
+		return nil
+	}
+	a := &Answer{Status: w.Status, Body: w.Body}
+	for _, f := range w.Header {
+		a.Header = append(a.Header, Field{Name: f.Name, Value: f.Value})
+	}
+	return a
+}
+
+func marshal(v any) []byte {
+	b, err := encoder.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("agatestate: encode %T: %v", v, err))
+	}
+	return append([]byte{codecVersion}, b...)
+}
+
+func unmarshal(b []byte, v any) error {
+	if len(b) == 0 || b[0] != codecVersion {
+		return fmt.Errorf("%w: unknown version", ErrMalformed)
+	}
+	if err := decoder.Unmarshal(b[1:], v); err != nil {
+		return fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/agatestate/fuzz_test.go
@@ -0,0 +1,332 @@
+package agatestate_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"agategate/core/agatestate"
+)
+
+// TestMain fixes the seed and the length of the fuzz tests; flags override
+// them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{
+		"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "300", "rapid.steps": "100",
+		"rapid.shrinktime": "2s",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// statement is what the oracle knows about one key.
+type statement struct {
+	holder  agatestate.Token // granted and neither released nor expired
+	ended   int64            // state time of the last change of a live record
+	body    []byte           // of the first recorded answer
+	ran     bool             // recorded, but too large
+	last    uint64           // index of the last change of a live record
+	refused uint64           // index of the last "not run"
+	at      int64            // its state time
+}
+
+// oracle runs a machine and a twin that is restored from snapshots now and
+// then, and checks each result against the rules.
+type oracle struct {
+	cfg     agatestate.Config
+	m, twin *agatestate.Machine
+	index   uint64
+	now     int64
+	keys    map[string]*statement
+	changes map[string]agatestate.Result
+	docs    map[string]string
+	rev     uint64
+	deaths  map[byte]map[string]bool
+}
+
+func (o *oracle) apply(t *rapid.T, c agatestate.Command) agatestate.Result {
+	o.index++
+	c.Now = o.now - rapid.Int64Range(0, 300).Draw(t, "lag")
+	b := agatestate.Encode(c)
+	out := o.m.Apply(o.index, b)
+	assert.Assert(t, bytes.Equal(out, o.twin.Apply(o.index, b)), "twin differs")
+	r, err := agatestate.DecodeResult(out)
+	assert.NilError(t, err)
+	assert.Assert(t, r.Verdict != agatestate.Invalid)
+	n := o.m.Counts()
+	assert.Assert(t, n.Claimed+n.Done+n.Unknown <= o.cfg.Records && n.Bytes <= o.cfg.Bytes)
+	return r
+}
+
+func token(n int) (t agatestate.Token) {
+	t[0], t[1] = byte(n), 1
+	return t
+}
+
+// judge checks a verdict about a key against what was told before.
+func (o *oracle) judge(t *rapid.T, key string, c *agatestate.Claim, r agatestate.Result) {
+	s := o.keys[key]
+	now := o.m.Now().UnixMilli()
+	if s.holder != (agatestate.Token{}) && now >= s.ended+o.cfg.Retention.Milliseconds() {
+		*s = statement{last: s.last, refused: s.refused, at: s.at}
+	}
+	switch {
+	case r.Verdict == agatestate.Granted:
+		free := s.holder == agatestate.Token{}
+		assert.Assert(t, free || s.holder == c.Token && s.body == nil, "a second token was granted")
+		if free {
+			assert.Assert(t, s.refused == 0 || c.Seen >= s.refused, "a copy of a refused request was granted")
+			assert.Assert(t, c.Seen >= s.last, "a claim older than a dropped record was granted")
+			assert.Assert(t, s.refused == 0 || now >= s.at+1000, "granted during the hold")
+			s.holder, s.last = c.Token, r.Index
+			s.ended = now + int64(c.Deadline/time.Millisecond) + 5000
+		}
+		assert.Assert(t, now < s.ended, "granted after the record turned unknown")
+	case r.Verdict == agatestate.Done:
+		assert.DeepEqual(t, r.Answer.Body, s.body)
+	case r.Verdict == agatestate.InProgress:
+		assert.Assert(t, s.holder != agatestate.Token{} && s.body == nil && now < s.ended)
+	case r.Verdict == agatestate.Unknown:
+		assert.Assert(t, s.holder != agatestate.Token{} && (now >= s.ended || r.Ran))
+	case r.Verdict.NotRun():
+		if r.Verdict != agatestate.Mismatch {
+			assert.Assert(t, s.holder == agatestate.Token{}, "a live record was refused")
+			assert.Equal(t, r.RetryAfter, time.Second)
+		}
+		s.refused, s.at = r.Index, now
+	default:
+		t.Fatalf("verdict %v", r.Verdict)
+	}
+}
+
+func (o *oracle) actions() map[string]func(*rapid.T) {
+	keys := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"})
+	tokens := rapid.IntRange(1, 8)
+	payload := func(t *rapid.T) (p agatestate.Payload) {
+		p[0] = byte(rapid.SampledFrom([]int{0, 0, 0, 0, 1}).Draw(t, "payload"))
+		return p
+	}
+	return map[string]func(*rapid.T){
+		"sleep": func(t *rapid.T) {
+			o.now += rapid.SampledFrom([]int64{1, 400, 1100, 7000, 60_000, 3_600_000}).Draw(t, "ms")
+		},
+		"claim": func(t *rapid.T) {
+			c := &agatestate.Claim{
+				Service: "s", Key: keys.Draw(t, "key"), Payload: payload(t), Holder: "h",
+				Deadline: time.Duration(rapid.IntRange(1, 3).Draw(t, "deadline")) * time.Second,
+				Seen:     o.index - min(o.index, rapid.Uint64Range(0, 12).Draw(t, "lag")),
+			}
+			c.Token = token(int(o.index))
+			if old := o.keys[c.Key].holder; old != (agatestate.Token{}) && rapid.Bool().Draw(t, "repeat") {
+				c.Token = old
+			}
+			o.judge(t, c.Key, c, o.apply(t, agatestate.Command{Claim: c}))
+		},
+		"refuse": func(t *rapid.T) {
+			c := &agatestate.Refuse{Service: "s", Key: keys.Draw(t, "key"), Payload: payload(t)}
+			o.judge(t, c.Key, nil, o.apply(t, agatestate.Command{Refuse: c}))
+		},
+		"release": func(t *rapid.T) {
+			c := &agatestate.Release{Service: "s", Key: keys.Draw(t, "key"), Token: token(tokens.Draw(t, "token"))}
+			s := o.keys[c.Key]
+			if s.holder != (agatestate.Token{}) && rapid.Bool().Draw(t, "own") {
+				c.Token = s.holder
+			}
+			r := o.apply(t, agatestate.Command{Release: c})
+			if c.Token == s.holder && s.body == nil && r.Verdict == agatestate.Refused {
+				s.holder = agatestate.Token{}
+			}
+			o.judge(t, c.Key, nil, r)
+		},
+		"finish": func(t *rapid.T) {
+			key := keys.Draw(t, "key")
+			s := o.keys[key]
+			c := &agatestate.Finish{Service: "s", Key: key, Token: token(tokens.Draw(t, "token"))}
+			c.Answer.Body = rapid.SliceOfN(rapid.Byte(), 1, 20).Draw(t, "body")
+			if s.holder != (agatestate.Token{}) && rapid.Bool().Draw(t, "own") {
+				c.Token = s.holder
+			}
+			r := o.apply(t, agatestate.Command{Finish: c})
+			if r.Verdict != agatestate.Recorded {
+				return
+			}
+			assert.Equal(t, c.Token, s.holder, "another token's answer was recorded")
+			assert.Equal(t, r.Ran, r.Ran || len(c.Answer.Body) > o.cfg.Answer)
+			if s.ran {
+				return // a repeat changes nothing
+			}
+			s.ended, s.last, s.ran = o.m.Now().UnixMilli(), r.Index, r.Ran
+			if !r.Ran {
+				s.body = c.Answer.Body
+			}
+		},
+		"configure": o.configure,
+		"death":     o.death,
+		"restart": func(t *rapid.T) {
+			a, err := o.m.Snapshot()
+			assert.NilError(t, err)
+			b, err := o.twin.Snapshot()
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(a, b), "equal states gave different snapshots")
+			o.twin = restored(t, o.cfg, o.m)
+		},
+	}
+}
+
+func (o *oracle) configure(t *rapid.T) {
+	c := &agatestate.Configure{
+		Change:   fmt.Sprint(rapid.IntRange(0, 50).Draw(t, "change")),
+		Base:     rapid.Uint64Range(o.rev-min(o.rev, 1), o.rev+1).Draw(t, "base"),
+		Document: []byte{byte(rapid.IntRange(1, 2).Draw(t, "doc"))},
+	}
+	r := o.apply(t, agatestate.Command{Configure: c})
+	r.Index = 0
+	if first, known := o.changes[c.Change]; known {
+		if o.docs[c.Change] != string(c.Document) {
+			first = agatestate.Result{Verdict: agatestate.Reused}
+		}
+		assert.DeepEqual(t, r, first)
+		return
+	}
+	accept := c.Base == o.rev
+	assert.Equal(t, r.Verdict == agatestate.Accepted, accept)
+	if accept {
+		o.rev++
+	}
+	assert.Equal(t, r.Revision, o.rev)
+	assert.Equal(t, o.m.Config().Revision, o.rev)
+	o.changes[c.Change] = r
+	o.docs[c.Change] = string(c.Document)
+}
+
+// death checks that each fingerprint counts each death of an upstream once.
+func (o *oracle) death(t *rapid.T) {
+	p := rapid.Byte().Draw(t, "print")
+	c := &agatestate.Death{Upstream: rapid.SampledFrom([]string{"u", "v"}).Draw(t, "upstream"), Prints: []agatestate.Fingerprint{{p}}}
+	r := o.apply(t, agatestate.Command{Death: c})
+	if o.deaths[p] == nil {
+		o.deaths[p] = map[string]bool{}
+	}
+	fresh := !o.deaths[p][c.Upstream]
+	o.deaths[p][c.Upstream] = true
+	if o.m.Now().UnixMilli() > 1e12+int64(time.Hour/time.Millisecond) {
+		return // retention may have ended
+	}
+	assert.Equal(t, r.Count == 1, fresh)
+}
+
+// Guards against a second run of an action, a false "not run", a lost
+// answer, a configuration that goes back, and replicas that drift apart.
+func TestMachineAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := agatestate.Config{Records: 4, Bytes: 4000, Answer: 16, Retention: 2 * time.Hour}
+		o := &oracle{cfg: cfg, m: agatestate.New(cfg), twin: agatestate.New(cfg), now: 1e12}
+		o.keys = map[string]*statement{}
+		for _, k := range []string{"a", "b", "c", "d", "e", "f"} {
+			o.keys[k] = &statement{}
+		}
+		o.changes = map[string]agatestate.Result{}
+		o.docs = map[string]string{}
+		o.deaths = map[byte]map[string]bool{}
+		t.Repeat(o.actions())
+	})
+}
+
+// Guards against a damaged or cut snapshot that replaces the state.
+func TestDamagedSnapshot(t *testing.T) {
+	m := agatestate.New(agatestate.Config{})
+	m.Apply(1, agatestate.Encode(command("configure", args{"change": "c", "doc": "d"}, 1)))
+	m.Apply(2, agatestate.Encode(command("claim", args{"token": "A"}, 2)))
+	m.Apply(3, agatestate.Encode(command("death", args{"upstream": "u", "print": "a"}, 3)))
+	whole, err := m.Snapshot()
+	assert.NilError(t, err)
+	n := agatestate.New(agatestate.Config{})
+	for i := range whole {
+		bad := bytes.Clone(whole)
+		bad[i] ^= 1 << (i % 8)
+		assert.ErrorIs(t, n.Restore(bad), agatestate.ErrSnapshot)
+		assert.ErrorIs(t, n.Restore(whole[:i]), agatestate.ErrSnapshot)
+	}
+	assert.Equal(t, n.Index(), uint64(0))
+	assert.NilError(t, n.Restore(whole))
+	assert.Equal(t, n.Counts(), m.Counts())
+}
+
+// Guards against a panic or a changed state for bytes that are no command.
+func TestMalformedCommand(t *testing.T) {
+	good := agatestate.Encode(command("claim", args{"token": "A"}, 1))
+	two := agatestate.Command{Expire: &agatestate.Expire{}, Refuse: &agatestate.Refuse{Service: "s", Key: "k"}}
+	bad := [][]byte{nil, {}, {1}, {9}, good[1:], good[:len(good)-1], append(bytes.Clone(good), 0), agatestate.Encode(two)}
+	bad = append(bad, agatestate.Encode(command("claim", args{}, 1)), agatestate.Encode(agatestate.Command{}))
+	m := agatestate.New(agatestate.Config{})
+	for i, b := range bad {
+		r, err := agatestate.DecodeResult(m.Apply(uint64(i+1), b))
+		assert.NilError(t, err)
+		assert.Equal(t, r.Verdict, agatestate.Invalid)
+		_, err = agatestate.Stamp(b, time.UnixMilli(5))
+		assert.ErrorIs(t, err, agatestate.ErrMalformed)
+	}
+	assert.Equal(t, m.Counts(), agatestate.Counts{})
+	stamped, err := agatestate.Stamp(good, time.UnixMilli(5))
+	assert.NilError(t, err)
+	c, err := agatestate.Decode(stamped)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Now, int64(5))
+}
+
+// Guards against snapshots that depend on the history of the expiry queue
+// instead of the state: one machine drops a tombstone more than the other.
+func TestSnapshotOfEqualStates(t *testing.T) {
+	var snaps [2][]byte
+	for i, first := range [][]byte{nil, agatestate.Encode(command("refuse", args{"key": "x"}, 1))} {
+		m := agatestate.New(agatestate.Config{})
+		m.Apply(1, first)
+		for j := uint64(2); j < 10; j++ {
+			a := args{"key": fmt.Sprint(j), "token": "A", "deadline": fmt.Sprintf("%dm", 2+j*7%11)}
+			m.Apply(j, agatestate.Encode(command("claim", a, j)))
+		}
+		m.Apply(10, agatestate.Encode(command("refuse", args{"key": "y"}, 10)))
+		m.Apply(11, agatestate.Encode(agatestate.Command{Now: 70_000, Expire: &agatestate.Expire{}}))
+		assert.Equal(t, m.Counts().Refused, 0)
+		var err error
+		snaps[i], err = m.Snapshot()
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, bytes.Equal(snaps[0], snaps[1]))
+}
+
+// BenchmarkSnapshot measures a full set of action records.
+func BenchmarkSnapshot(b *testing.B) {
+	m := agatestate.New(agatestate.Config{})
+	const records = 100_000
+	for i := uint64(1); i <= records; i++ {
+		m.Apply(i, agatestate.Encode(command("claim", args{"key": fmt.Sprintf("%036d", i), "token": "A"}, i)))
+	}
+	assert.Equal(b, m.Counts().Claimed, records)
+	for b.Loop() {
+		s, err := m.Snapshot()
+		assert.NilError(b, err)
+		b.ReportMetric(float64(len(s))/records, "bytes/record")
+	}
+}
+
+// BenchmarkApply measures one claim and its answer.
+func BenchmarkApply(b *testing.B) {
+	m := agatestate.New(agatestate.Config{})
+	index := uint64(0)
+	for b.Loop() {
+		index += 2
+		a := args{"key": fmt.Sprintf("%036d", index), "token": "A", "body": "0123456789"}
+		m.Apply(index-1, agatestate.Encode(command("claim", a, index)))
+		m.Apply(index, agatestate.Encode(command("finish", a, index)))
+	}
+}
--- /dev/null
+++ b/core/agatestate/script_test.go
@@ -0,0 +1,229 @@
+package agatestate_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agategate/core/agatestate"
+)
+
+// A script is a list of lines "TIME COMMAND key=value... -> VERDICT
+// key=value...". TIME is state time since the start; each command takes the
+// next log index. seen= defaults to the index of the last command. The line
+// "snapshot" goes on with a machine that was restored from a snapshot.
+
+// args are the key=value words of a script line.
+type args map[string]string
+
+func parseArgs(words []string) args {
+	a := args{}
+	for _, w := range words {
+		k, v, _ := strings.Cut(w, "=")
+		a[k] = v
+	}
+	return a
+}
+
+func (a args) or(key, def string) string {
+	if v, ok := a[key]; ok {
+		return v
+	}
+	return def
+}
+
+func (a args) number(key string, def int) int {
+	n, err := strconv.Atoi(a.or(key, strconv.Itoa(def)))
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+func (a args) duration(key, def string) time.Duration {
+	d, err := time.ParseDuration(a.or(key, def))
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+func (a args) token() (t agatestate.Token) {
+	copy(t[:], a["token"])
+	return t
+}
+
+func (a args) payload() agatestate.Payload { return sha256.Sum256([]byte(a.or("payload", "p"))) }
+
+func (a args) prints() (ps []agatestate.Fingerprint) {
+	for _, p := range strings.Split(a["print"], ",") {
+		ps = append(ps, sha256.Sum256([]byte(p)))
+	}
+	return ps
+}
+
+// command builds the command of a script line.
+func command(verb string, a args, index uint64) agatestate.Command {
+	service, key := a.or("service", "labels"), a.or("key", "k")
+	switch verb {
+	case "configure":
+		return agatestate.Command{Configure: &agatestate.Configure{
+			Change: a["change"], Base: uint64(a.number("base", 0)),
+			Document: []byte(a["doc"]), Operator: a.or("operator", "op"),
+		}}
+	case "claim":
+		return agatestate.Command{Claim: &agatestate.Claim{
+			Service: service, Key: key, Payload: a.payload(), Holder: a.or("holder", "h"),
+			Token: a.token(), Deadline: a.duration("deadline", "2s"),
+			Seen: uint64(a.number("seen", int(index)-1)),
+		}}
+	case "finish":
+		return agatestate.Command{Finish: &agatestate.Finish{
+			Service: service, Key: key, Token: a.token(),
+			Answer: agatestate.Answer{Status: 200, Body: []byte(a["body"])},
+		}}
+	case "release":
+		return agatestate.Command{Release: &agatestate.Release{Service: service, Key: key, Payload: a.payload(), Token: a.token()}}
+	case "refuse":
+		return agatestate.Command{Refuse: &agatestate.Refuse{Service: service, Key: key, Payload: a.payload()}}
+	case "expire":
+		return agatestate.Command{Expire: &agatestate.Expire{Limit: a.number("limit", 0)}}
+	case "death":
+		return agatestate.Command{Death: &agatestate.Death{
+			Host: a.or("host", "h"), Upstream: a["upstream"],
+			Incarnation: uint64(a.number("incarnation", 1)), Prints: a.prints(),
+		}}
+	case "probe":
+		return agatestate.Command{Probe: &agatestate.Probe{
+			Print: a.prints()[0], Upstream: a["upstream"], Incarnation: uint64(a.number("incarnation", 1)),
+			Holder: "h", Token: a.token(), Timeout: a.duration("timeout", "2s"),
+		}}
+	case "settle":
+		outcomes := map[string]agatestate.Outcome{
+			"survived": agatestate.Survived, "died": agatestate.Died, "not-started": agatestate.NotStarted,
+		}
+		return agatestate.Command{Settle: &agatestate.Settle{
+			Print: a.prints()[0], Token: a.token(), Outcome: outcomes[a["outcome"]],
+		}}
+	}
+	panic("unknown command " + verb)
+}
+
+// describe renders the fields of a result that a script line names.
+func describe(r agatestate.Result, want args) string {
+	s := r.Verdict.String()
+	for _, f := range []struct{ key, value string }{
+		{"retry", r.RetryAfter.String()},
+		{"revision", fmt.Sprint(r.Revision)},
+		{"change", r.Change},
+		{"operator", r.Operator},
+		{"count", fmt.Sprint(r.Count)},
+		{"ran", fmt.Sprint(r.Ran)},
+	} {
+		if _, ok := want[f.key]; ok {
+			s += " " + f.key + "=" + f.value
+		}
+	}
+	if _, ok := want["body"]; ok && r.Answer != nil {
+		s += " body=" + string(r.Answer.Body)
+	}
+	return s
+}
+
+func config(a args) agatestate.Config {
+	return agatestate.Config{
+		Records: a.number("records", 0), Bytes: a.number("bytes", 0), Answer: a.number("answer", 0),
+		Changes: a.number("changes", 0), Suspects: a.number("suspects", 0),
+	}
+}
+
+// Each script guards one group of rules of the state machine; its comments
+// name the failures.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) { runScript(t, file) })
+	}
+}
+
+func runScript(t *testing.T, file string) {
+	text, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	cfg := agatestate.Config{}
+	m := agatestate.New(cfg)
+	index := uint64(0)
+	for i, line := range strings.Split(string(text), "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		do, want, checked := strings.Cut(line, "->")
+		words := strings.Fields(do)
+		if len(words) == 0 {
+			continue
+		}
+		at := fmt.Sprintf("%s:%d: %s", file, i+1, line)
+		switch words[0] {
+		case "config":
+			cfg = config(parseArgs(words[1:]))
+			m = agatestate.New(cfg)
+			continue
+		case "snapshot":
+			m = restored(t, cfg, m)
+			continue
+		case "suspects":
+			assert.Equal(t, suspects(m, parseArgs(words[1:])), strings.TrimSpace(want), at)
+			continue
+		}
+		assert.Assert(t, checked, at)
+		now, err := time.ParseDuration(words[0])
+		assert.NilError(t, err, at)
+		index++
+		c := command(words[1], parseArgs(words[2:]), index)
+		c.Now = 1e12 + now.Milliseconds()
+		r, err := agatestate.DecodeResult(m.Apply(index, agatestate.Encode(c)))
+		assert.NilError(t, err, at)
+		expected := strings.Fields(want)
+		assert.Equal(t, describe(r, parseArgs(expected[1:])), strings.Join(expected, " "), at)
+	}
+}
+
+// suspects renders SuspectsSince as "full"/"delta" and print:deaths words.
+func suspects(m *agatestate.Machine, a args) string {
+	d := m.SuspectsSince(uint64(a.number("since", 0)))
+	s := map[bool]string{true: "full", false: "delta"}[d.Full]
+	for _, p := range d.Suspects {
+		for _, known := range []string{"a", "b", "c", "d", "e"} {
+			if p.Print == sha256.Sum256([]byte(known)) {
+				s += fmt.Sprintf(" %s:%d", known, p.Deaths)
+			}
+		}
+	}
+	return s
+}
+
+// restored returns a machine that was restored from m's snapshot, after
+// checking that its own snapshot has the same bytes.
+func restored(t interface {
+	assert.TestingT
+	Helper()
+}, cfg agatestate.Config, m *agatestate.Machine,
+) *agatestate.Machine {
+	t.Helper()
+	b, err := m.Snapshot()
+	assert.NilError(t, err)
+	n := agatestate.New(cfg)
+	assert.NilError(t, n.Restore(b))
+	again, err := n.Snapshot()
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(b, again), "snapshot of the restored machine differs")
+	assert.Equal(t, n.Counts(), m.Counts())
+	return n
+}
