agateroute: failing upstreams get a trickle of probes

Cause: an ejection is bounded to 30% of a region, so requests kept going to the other upstreams of a lost failure domain. Change: from two failures in a row an upstream gets one request per 200 ms until it answers. The benchmark measures utilisation by the exact slot time. Conclusion: kept; each host probes each lost upstream, which is still too much.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -38,7 +38,7 @@
 	considered int
 	busy       int // at their limit
 	away       int // kept away by drains
-	barred     int // tried before, ejected, held or running a suspect
+	barred     int // tried before, ejected, held, failing or running a suspect
 }
 
 // Choose decides about a new request. After Send, the caller calls Start at
@@ -243,7 +243,7 @@
 
 // barred reports whether an upstream must not get this request now.
 func (u *upstream) barred(now time.Time, r *Request) bool {
-	if u.held(now, r.Class) || u.eject.active(now) || (r.Alone && u.alone > 0) {
+	if u.held(now, r.Class) || u.eject.active(now) || u.failing(now) || (r.Alone && u.alone > 0) {
 		return true
 	}
 	for _, id := range r.Tried {
@@ -254,6 +254,13 @@
 	return false
 }
 
+// failing reports whether the upstream failed several times in a row and it is
+// not yet time for the next probe. Unlike an ejection, this leaves a trickle
+// of work, so it has no bound on the number of upstreams.
+func (u *upstream) failing(now time.Time) bool {
+	return u.failures >= failingFrom && (u.own > 0 || now.Before(u.probeAt))
+}
+
 // room reports whether the upstream's slots, its ramp and the share of its
 // connections leave room for one more request.
 func (u *upstream) room(n float64, v *view) bool {
@@ -292,6 +299,13 @@
 	return r
 }
 
+const (
+	// failingFrom is the number of failures in a row from which an upstream
+	// gets no more than one request per failingProbe.
+	failingFrom  = 2
+	failingProbe = 200 * time.Millisecond
+)
+
 // ratioEnough is the number of answers from which a mean is trusted.
 const ratioEnough = 8
 
--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -85,6 +85,7 @@
 // failed learns from a failure.
 func (t *Table) failed(now time.Time, u *upstream, o Observation) {
 	u.failures++
+	u.probeAt = now.Add(failingProbe)
 	if !u.ramp.warm {
 		u.ramp.failed()
 	}
--- a/core/agateroute/sim_test.go
+++ b/core/agateroute/sim_test.go
@@ -175,6 +175,8 @@
 	state       State
 	drained     time.Duration
 	lies        bool
+	busyTime    float64 // slot seconds in use since the last sample
+	tallied     time.Duration
 	held        int // sent by entry hosts and not finished
 }
 
@@ -191,6 +193,13 @@
 	return 1 + (coldFactor-1)*float64(coldAnswers-u.answers)/coldAnswers
 }
 
+// tally adds up the time that slots are in use. It is called before each
+// change of the running requests.
+func (u *simUp) tally() {
+	u.busyTime += float64(len(u.running)) * (u.s.now - u.tallied).Seconds()
+	u.tallied = u.s.now
+}
+
 // arrive takes a request from the network.
 func (u *simUp) arrive(a *attempt) {
 	if u.lost {
@@ -229,6 +238,7 @@
 			u.reply(a, TimedOut)
 			continue
 		}
+		u.tally()
 		a.running = true
 		u.running = append(u.running, a)
 		if a.r.crash {
@@ -252,6 +262,7 @@
 }
 
 func (u *simUp) free(a *attempt) {
+	u.tally()
 	a.running = false
 	for i, b := range u.running {
 		if a == b {
@@ -291,6 +302,7 @@
 // stop ends all work with an outcome.
 func (u *simUp) stop(o Outcome) {
 	u.dead = true
+	u.tally()
 	ended := append(u.running, u.waiting...)
 	u.running, u.waiting = nil, nil
 	for _, a := range ended {
--- a/core/agateroute/simload_test.go
+++ b/core/agateroute/simload_test.go
@@ -147,13 +147,18 @@
 
 // sample measures the load of every service in every region.
 func (s *sim) sample() {
-	type sum struct{ slots, held, busy int }
+	type sum struct {
+		slots, held int
+		busy        float64
+	}
 	sums := map[[2]int]sum{}
 	for _, u := range s.ups {
 		k := [2]int{u.service, u.at.region}
 		v := sums[k]
 		v.held += u.held
-		v.busy += len(u.running)
+		u.tally()
+		v.busy += u.busyTime
+		u.busyTime = 0
 		if !u.dead && !u.lost {
 			v.slots += u.slots
 		}
@@ -168,7 +173,7 @@
 		}
 		o.work[k] = append(work, 0)
 		o.slotTime[k] = slots
-		o.busy[k] = append(o.busy[k], float64(v.busy)*loadBin.Seconds())
+		o.busy[k] = append(o.busy[k], v.busy)
 	}
 }
 
--- a/core/agateroute/upstream.go
+++ b/core/agateroute/upstream.go
@@ -59,6 +59,7 @@
 	ramp       ramp
 	eject      ejection
 	failures   int
+	probeAt    time.Time
 	hold       [2]time.Time // by class: no new work until then
 	retired    bool
 	near       bool // in the failure domain of this entry host
