agateroute: leave a region at once when none of its upstreams answers

Cause: with a region lost, its requests joined a queue for upstreams that no longer answered and expired there (1,088 of 3,974 losses). Change: four failures in a row over a whole group leave it one probe at a time with growing pauses; its queue is decided again, and the next region is tried when the idlest gives no grant.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -83,7 +83,7 @@
 	hash := xxhash.Sum64String(r.ID)
 	var p pick
 	if home != nil {
-		if home.queue.empty() || r.Pinned != "" {
+		if home.queue.empty() || home.failing() || r.Pinned != "" {
 			p = t.survey(now, home, r, hash)
 		} else {
 			p.busy = len(home.upstreams)
@@ -153,33 +153,52 @@
 	if r.Pinned != "" {
 		return t.pinned(now, s, r, hash)
 	}
+	above := -1.0
+	for range s.order {
+		g := t.idlest(now, s, r.Region, above)
+		if g == nil {
+			break
+		}
+		above = g.used.mean
+		if d, ok := t.shiftTo(now, g, r, hash); ok {
+			return d, true
+		}
+	}
+	return Decision{}, false
+}
+
+// idlest returns the region with the lowest utilisation above a bound that
+// may take overflow.
+func (t *Table) idlest(now time.Time, s *service, home string, above float64) *group {
 	var best *group
 	lowest := t.target()
 	for _, g := range s.order {
-		if g.region == r.Region || !g.takesShift(now) {
+		if g.region == home || !g.takesShift(now) {
 			continue
 		}
 		g.note(now)
-		if g.load() < g.slots && g.used.mean < lowest {
+		if g.load() < g.slots && g.used.mean < lowest && g.used.mean > above {
 			best, lowest = g, g.used.mean
 		}
 	}
-	if best == nil {
-		return Decision{}, false
-	}
-	p := t.survey(now, best, r, hash)
-	d, ok := t.send(now, best, r, p, ReasonOverflow)
+	return best
+}
+
+// shiftTo sends a request to another region if it gets a grant.
+func (t *Table) shiftTo(now time.Time, g *group, r *Request, hash uint64) (Decision, bool) {
+	p := t.survey(now, g, r, hash)
+	d, ok := t.send(now, g, r, p, ReasonOverflow)
 	if !ok {
 		return Decision{}, false
 	}
-	if !t.cfg.Overflow(now, s.name, r.Region, best.region) {
+	if !t.cfg.Overflow(now, g.service.name, r.Region, g.region) {
 		if r.Alone {
 			p.best.alone--
 		}
 		return Decision{}, false
 	}
-	best.shiftOwn++
-	best.shiftAt = now
+	g.shiftOwn++
+	g.shiftAt = now
 	return d, true
 }
 
@@ -258,7 +277,16 @@
 // not yet time for the next probe. Unlike an ejection, this leaves a trickle
 // of work, so it has no bound on the number of upstreams.
 func (u *upstream) failing(now time.Time) bool {
-	return u.failures >= failingFrom && (u.own > 0 || now.Before(u.probeAt))
+	if u.failures >= failingFrom && (u.own > 0 || now.Before(u.probeAt)) {
+		return true
+	}
+	g := u.group
+	return g.failing() && (g.own > 0 || now.Before(g.probeAt))
+}
+
+// failing reports whether no upstream of the group answers.
+func (g *group) failing() bool {
+	return g.failures >= groupFailing
 }
 
 // room reports whether the upstream's slots, its ramp and the share of its
@@ -304,6 +332,13 @@
 	// gets no more than one request per failingProbe.
 	failingFrom  = 2
 	failingProbe = 200 * time.Millisecond
+
+	// failingDoublings is how often that time doubles: up to 1.6 s.
+	failingDoublings = 3
+
+	// groupFailing is the number of failures in a row, over all upstreams of a
+	// service in a region, from which that holds for all of them together.
+	groupFailing = 4
 )
 
 // ratioEnough is the number of answers from which a mean is trusted.
--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -63,6 +63,7 @@
 	g.service.answered = now
 	u.seen = now
 	u.failures = 0
+	g.failures = 0
 	seconds := o.Latency.Seconds()
 	// An upstream with more requests than slots makes them queue, so the
 	// answer time of a request alone is shorter by that ratio.
@@ -85,7 +86,9 @@
 // failed learns from a failure.
 func (t *Table) failed(now time.Time, u *upstream, o Observation) {
 	u.failures++
-	u.probeAt = now.Add(failingProbe)
+	u.group.failures++
+	u.probeAt = now.Add(backoff(u.failures - failingFrom))
+	u.group.probeAt = now.Add(backoff(u.group.failures - groupFailing))
 	if !u.ramp.warm {
 		u.ramp.failed()
 	}
@@ -94,6 +97,11 @@
 	}
 }
 
+// backoff is the time to the next probe after so many failed ones.
+func backoff(failed int) time.Duration {
+	return failingProbe << min(max(failed, 0), failingDoublings)
+}
+
 // measurePresent estimates how much of the answer time of another region its
 // upstreams are in use. The rest, against the home region, is travel.
 func (t *Table) measurePresent(g *group) {
--- a/core/agateroute/group.go
+++ b/core/agateroute/group.go
@@ -47,6 +47,8 @@
 	latency   latency
 	queue     queue
 	demand    rate
+	failures  int       // in a row, without an answer from any upstream
+	probeAt   time.Time // when the next request may be sent while failing
 	used      utilisation
 	shift     ramp // overflow that comes in from other regions
 	shiftOwn  int
--- a/core/agateroute/queue.go
+++ b/core/agateroute/queue.go
@@ -77,7 +77,7 @@
 
 // enqueue lets a request wait for a busy group if it can be answered in time.
 func (t *Table) enqueue(now time.Time, g *group, r *Request, p pick) (Decision, bool) {
-	if p.best != nil || p.busy == 0 || r.Pinned != "" || g.queue.full() {
+	if p.best != nil || p.busy == 0 || g.failing() || r.Pinned != "" || g.queue.full() {
 		return Decision{}, false
 	}
 	wait := g.wait(now, r.Class)
@@ -148,6 +148,9 @@
 
 // next serves the queue of one group.
 func (t *Table) next(now time.Time, g *group) (Request, Decision, bool) {
+	if g.failing() {
+		return t.evacuate(now, g)
+	}
 	if r, d, ok := t.expire(now, g); ok {
 		return r, d, true
 	}
@@ -160,6 +163,17 @@
 	return Request{}, Decision{}, false
 }
 
+// evacuate decides at once about a request that waits for upstreams that do
+// not answer any more.
+func (t *Table) evacuate(now time.Time, g *group) (Request, Decision, bool) {
+	c := agateinventory.Action
+	if len(g.queue.waiting[c]) == 0 {
+		c = agateinventory.Read
+	}
+	r := g.queue.remove(c, 0)
+	return r, t.admit(now, g.service, g, &r), true
+}
+
 // expire refuses the first request that can no longer be answered in time.
 func (t *Table) expire(now time.Time, g *group) (Request, Decision, bool) {
 	if g.slots == 0 {
