--- a/core/agateroute/simhost_test.go
+++ b/core/agateroute/simhost_test.go
@@ -317,7 +317,7 @@
 		if len(usable) == 0 {
 			continue
 		}
-		if g.region != r.Region && !h.s.grant(r.service, r.home, regionIndex(g.region)) {
+		if g.region != r.Region && !h.mayShift(r, g) {
 			continue
 		}
 		return Decision{Verdict: Send, Upstream: h.s.p.rule(h, usable).id}
@@ -325,6 +325,13 @@
 	return Decision{Reason: ReasonNone}
 }
 
+// mayShift holds baselines to the rules of the product for leaving a region.
+func (h *simHost) mayShift(r *simRequest, g *group) bool {
+	g.note(h.s.time())
+	return g.used.mean < h.table.target() && g.load() < g.slots &&
+		h.s.grant(r.service, r.home, regionIndex(g.region))
+}
+
 func hopRank(a, b string) int {
 	if a == b {
 		return 0
