agateroute: overflow when another region answers sooner

Change: another region is asked first when its usual answer time, travel included, is below the expected wait and answer at home.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -91,6 +91,12 @@
 		if d, ok := t.send(now, home, r, p, ReasonBest); ok {
 			return d
 		}
+		// Another region is asked first when it answers sooner.
+		if t.soonerElsewhere(now, s, home, r, p) {
+			if d, ok := t.overflow(now, s, r, hash); ok {
+				return d
+			}
+		}
 		if d, ok := t.enqueue(now, home, r, p); ok {
 			return d
 		}
@@ -101,6 +107,16 @@
 	return t.refuse(now, home, r, p)
 }
 
+// soonerElsewhere reports whether the home region is so busy that the answer
+// is expected sooner from another region, travel included.
+func (t *Table) soonerElsewhere(now time.Time, s *service, home *group, r *Request, p pick) bool {
+	if p.busy == 0 || r.Pinned != "" {
+		return false
+	}
+	g := t.idlest(now, s, r.Region, -1)
+	return g != nil && g.latency.whole.n > 0 && home.wait(now, r.Class)+home.usual() > g.usual()
+}
+
 // send turns a comparison into a decision, if it found an upstream that can
 // answer in time.
 func (t *Table) send(now time.Time, g *group, r *Request, p pick, why Reason) (Decision, bool) {
