agateroute: hosts with a longer queue get more of the slots

Cause: at saturation a host sent one request for each own answer, so its part of the slots froze and a long queue stayed long beside an empty one. Change: peers exchange the number of waiting requests; a host below its part, by what it holds against what all hold, may send up to one more request per slot.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -315,8 +315,16 @@
 		return false
 	}
 	limit := u.slots * excess
-	// A host below its part of the limit may send, whatever its peers report.
-	return n+1 <= limit || float64(u.own+1) <= limit/v.hosts
+	return n+1 <= limit || (v.below && n+1 <= limit+u.slots)
+}
+
+// below reports whether this host has less than its part of the requests that
+// may be in flight, by what it holds against what all hosts hold. Without
+// this, a host with a long queue would wait for others with none.
+func (g *group) below() bool {
+	own := float64(g.own)*g.present + float64(g.queue.len())
+	all := own + g.peers + float64(g.peersWaiting)
+	return (float64(g.own)*g.present+1)*all <= g.slots*excess*own
 }
 
 // cost is the expected time to answer in units of the group's usual latency.
--- a/core/agateroute/group.go
+++ b/core/agateroute/group.go
@@ -36,23 +36,23 @@
 
 // group is one service in one region.
 type group struct {
-	service   *service
-	region    string
-	upstreams []*upstream
-	own       int     // in flight from this entry host
-	peers     float64 // at upstreams from the others as reported
-	present   float64 // part of the answer time that own requests are at upstreams
-	sharing   int     // other entry hosts that reported requests in flight
-	slots     float64 // of the upstreams that take new work
-	latency   latency
-	queue     queue
-	demand    rate
-	failures  int       // in a row, without an answer from any upstream
-	probeAt   time.Time // when the next request may be sent while failing
-	used      utilisation
-	shift     ramp // overflow that comes in from other regions
-	shiftOwn  int
-	shiftAt   time.Time
+	service      *service
+	region       string
+	upstreams    []*upstream
+	own          int     // in flight from this entry host
+	peers        float64 // at upstreams from the others as reported
+	present      float64 // part of the answer time that own requests are at upstreams
+	peersWaiting int     // in the queues of the others
+	slots        float64 // of the upstreams that take new work
+	latency      latency
+	queue        queue
+	demand       rate
+	failures     int       // in a row, without an answer from any upstream
+	probeAt      time.Time // when the next request may be sent while failing
+	used         utilisation
+	shift        ramp // overflow that comes in from other regions
+	shiftOwn     int
+	shiftAt      time.Time
 }
 
 func newGroup(s *service, region string, bound int) *group {
--- a/core/agateroute/peers.go
+++ b/core/agateroute/peers.go
@@ -24,6 +24,14 @@
 	Present float64
 }
 
+// Backlog is the number of requests that wait at an entry host for a service
+// in a region.
+type Backlog struct {
+	Service string
+	Region  string
+	Waiting int
+}
+
 // presentStep is the unit of Count.Present. Multiples of it add up without
 // rounding, so the order of addition does not matter.
 const presentStep = 1.0 / 16
@@ -50,6 +58,8 @@
 	Announcements []Announcement
 	// InFlight are the sender's own requests per upstream, without zeros.
 	InFlight []Count
+	// Waiting are the requests in the sender's queues, without zeros.
+	Waiting []Backlog
 	// Age is how old the counts were on arrival. Zero means now.
 	Age time.Duration
 }
@@ -59,7 +69,7 @@
 	epoch  uint64
 	at     time.Time
 	counts map[UpstreamID]float64
-	groups map[*group]int // where it has requests in flight
+	groups map[*group]int // its waiting requests
 }
 
 // Export returns what peers need to know: announcements newer than a version
@@ -79,6 +89,11 @@
 			})
 		}
 	}
+	for _, g := range t.groups {
+		if n := g.queue.len(); n > 0 {
+			x.Waiting = append(x.Waiting, Backlog{Service: g.service.name, Region: g.region, Waiting: n})
+		}
+	}
 	return x
 }
 
@@ -105,6 +120,7 @@
 	}
 	p.epoch, p.at = x.Epoch, at
 	t.replace(p, x.InFlight)
+	t.queues(p, x.Waiting)
 	t.averagePeers(now)
 }
 
@@ -122,29 +138,29 @@
 	for id, n := range p.counts {
 		t.addPeers(id, -n)
 	}
-	for g := range p.groups {
-		g.sharing--
-	}
 	clear(p.counts)
-	clear(p.groups)
 	for _, c := range counts {
 		if c.InFlight > 0 {
 			p.counts[c.ID] += c.present()
 			t.addPeers(c.ID, c.present())
-			p.share(t.upstreams[c.ID])
 		}
 	}
 }
 
-// share notes that the peer uses the group of an upstream.
-func (p *peer) share(u *upstream) {
-	if u == nil {
-		return
+// queues replaces the waiting requests of one peer.
+func (t *Table) queues(p *peer, waiting []Backlog) {
+	for g, n := range p.groups {
+		g.peersWaiting -= n
 	}
-	if p.groups[u.group] == 0 {
-		u.group.sharing++
+	clear(p.groups)
+	for _, b := range waiting {
+		s := t.services[b.Service]
+		if s == nil || s.groups[b.Region] == nil || b.Waiting < 1 {
+			continue
+		}
+		p.groups[s.groups[b.Region]] += b.Waiting
+		s.groups[b.Region].peersWaiting += b.Waiting
 	}
-	p.groups[u.group]++
 }
 
 func (t *Table) addPeers(id UpstreamID, n float64) {
@@ -159,6 +175,7 @@
 	for host, p := range t.peers {
 		if now.Sub(p.at) > peerForget {
 			t.replace(p, nil)
+			t.queues(p, nil)
 			delete(t.peers, host)
 		}
 	}
@@ -169,17 +186,17 @@
 	normal  float64 // usual latency in seconds
 	perSlot float64 // peers' requests in flight per slot, over the group
 	fresh   float64 // weight of a peer's count for a single upstream, 0..1
-	hosts   float64 // entry hosts that share the group
+	below   bool    // this host has less than its part of the limit
 	present float64 // part of own requests in flight that are at upstreams
 }
 
 // view prepares the numbers that are the same for all upstreams of a group.
 func (t *Table) view(now time.Time, g *group) view {
-	v := view{normal: g.latency.normal.mean, hosts: 1, present: g.present}
+	v := view{normal: g.latency.normal.mean, present: g.present}
 	if g.slots > 0 {
 		v.perSlot = g.peers / g.slots
 	}
-	v.hosts += float64(g.sharing)
+	v.below = g.below()
 	v.fresh = t.freshness(now, g)
 	return v
 }
