agateroute: hedge only into idle slots

Cause: at load 0.95 hedges took capacity that first attempts needed. Change: no hedge above the target utilisation. The cold workload is set up before the first announcement, since its upstreams fell behind their own sequence numbers and lapsed.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -48,9 +48,7 @@
 	if s == nil {
 		return Decision{Reason: ReasonUnknown, RetryAfter: t.cfg.Interval}
 	}
-	if r.Region == "" {
-		r.Region = t.cfg.Region
-	}
+	r.Region = t.regionOf(&r)
 	if r.Deadline.IsZero() {
 		r.Deadline = now.Add(s.deadline)
 	}
--- a/core/agateroute/policy_test.go
+++ b/core/agateroute/policy_test.go
@@ -32,7 +32,7 @@
 		}
 	}},
 	{name: "rolling-drain", load: even(0.6), length: 30 * time.Second, setup: rollingDrain},
-	{name: "cold-shift", load: [simRegions]float64{1.3, 0, 0.7}, shift: 0.2, setup: func(s *sim) {
+	{name: "cold-shift", load: [simRegions]float64{1.3, 0, 0.7}, shift: 0.2, prepare: func(s *sim) {
 		for _, u := range s.ups {
 			if u.at.region == 1 {
 				u.answers = 0
--- a/core/agateroute/retry.go
+++ b/core/agateroute/retry.go
@@ -74,16 +74,27 @@
 
 // Hedge decides whether a read that has been at an upstream for some time
 // gets a second attempt elsewhere. It does so past the 95th percentile of the
-// answer times. The verdict is Send or Refuse. The caller has added the first
+// answer times, and only into slots that would stay idle. The verdict is Send or Refuse. The caller has added the first
 // upstream to r.Tried, and cancels the attempt that Loser names.
 func (t *Table) Hedge(now time.Time, r Request, waited time.Duration) Decision {
 	at := t.HedgeAfter(r.Service, r.Region)
 	if r.Class != agateinventory.Read || at == 0 || waited < at {
 		return Decision{Reason: ReasonUnexpected}
 	}
+	if g := t.services[r.Service].groups[t.regionOf(&r)]; g.load()+1 > t.target()*g.slots {
+		return Decision{Reason: ReasonBusy}
+	}
 	return t.second(now, &r, ReasonHedge, false)
 }
 
+// regionOf returns the home region of a request.
+func (t *Table) regionOf(r *Request) string {
+	if r.Region == "" {
+		return t.cfg.Region
+	}
+	return r.Region
+}
+
 // HedgeAfter is the answer time from which a read may be hedged: the 95th
 // percentile, or zero while too few answers are known.
 func (t *Table) HedgeAfter(service, region string) time.Duration {
@@ -110,9 +121,7 @@
 	if s == nil {
 		return Decision{Reason: ReasonUnknown, RetryAfter: t.cfg.Interval}
 	}
-	if r.Region == "" {
-		r.Region = t.cfg.Region
-	}
+	r.Region = t.regionOf(r)
 	if !now.Before(r.Deadline) {
 		return Decision{Reason: ReasonLate}
 	}
--- a/core/agateroute/simload_test.go
+++ b/core/agateroute/simload_test.go
@@ -69,11 +69,12 @@
 
 // workload is what happens during a run.
 type workload struct {
-	name   string
-	load   [simRegions]float64 // demand against capacity, by region
-	shift  float64             // cap of a shift as a share of a region's capacity
-	length time.Duration
-	setup  func(s *sim)
+	name    string
+	load    [simRegions]float64 // demand against capacity, by region
+	shift   float64             // cap of a shift as a share of a region's capacity
+	length  time.Duration
+	prepare func(s *sim) // before the first announcement
+	setup   func(s *sim)
 }
 
 // outcome is what a run measured.
@@ -321,6 +322,9 @@
 			s.arrivals(service, region)
 		}
 	}
+	if w.prepare != nil {
+		w.prepare(s)
+	}
 	s.start()
 	return s
 }
