agateroute: overflow is gated by mean utilisation alone

Cause: the gate also wanted a free slot at that instant by reports that are 100 ms old. Change: only the mean over 500 ms counts.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -191,7 +191,7 @@
 			continue
 		}
 		g.note(now)
-		if g.load() < g.slots && g.used.mean < lowest && g.used.mean > above {
+		if g.used.mean < lowest && g.used.mean > above {
 			best, lowest = g, g.used.mean
 		}
 	}
