--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -38,7 +38,7 @@
 	considered int
 	busy       int // at their limit
 	away       int // kept away by drains
-	barred     int // tried before, ejected, held or running a suspect
+	barred     int // tried before, ejected, held, failing or running a suspect
 }
 
 // Choose decides about a new request. After Send, the caller calls Start at
@@ -48,9 +48,7 @@
 	if s == nil {
 		return Decision{Reason: ReasonUnknown, RetryAfter: t.cfg.Interval}
 	}
-	if r.Region == "" {
-		r.Region = t.cfg.Region
-	}
+	r.Region = t.regionOf(&r)
 	if r.Deadline.IsZero() {
 		r.Deadline = now.Add(s.deadline)
 	}
@@ -83,7 +81,7 @@
 	hash := xxhash.Sum64String(r.ID)
 	var p pick
 	if home != nil {
-		if home.queue.empty() || r.Pinned != "" {
+		if home.queue.empty() || home.failing() || r.Pinned != "" {
 			p = t.survey(now, home, r, hash)
 		} else {
 			p.busy = len(home.upstreams)
@@ -91,6 +89,12 @@
 		if d, ok := t.send(now, home, r, p, ReasonBest); ok {
 			return d
 		}
+		// Another region is asked first when it answers sooner.
+		if t.soonerElsewhere(now, s, home, r, p) {
+			if d, ok := t.overflow(now, s, r, hash); ok {
+				return d
+			}
+		}
 		if d, ok := t.enqueue(now, home, r, p); ok {
 			return d
 		}
@@ -101,6 +105,16 @@
 	return t.refuse(now, home, r, p)
 }
 
+// soonerElsewhere reports whether the home region is so busy that the answer
+// is expected sooner from another region, travel included.
+func (t *Table) soonerElsewhere(now time.Time, s *service, home *group, r *Request, p pick) bool {
+	if p.busy == 0 || r.Pinned != "" {
+		return false
+	}
+	g := t.idlest(now, s, r.Region, -1)
+	return g != nil && g.latency.whole.n > 0 && home.wait(now, r.Class)+home.usual() > g.usual()
+}
+
 // send turns a comparison into a decision, if it found an upstream that can
 // answer in time.
 func (t *Table) send(now time.Time, g *group, r *Request, p pick, why Reason) (Decision, bool) {
@@ -153,33 +167,52 @@
 	if r.Pinned != "" {
 		return t.pinned(now, s, r, hash)
 	}
+	above := -1.0
+	for range s.order {
+		g := t.idlest(now, s, r.Region, above)
+		if g == nil {
+			break
+		}
+		above = g.used.mean
+		if d, ok := t.shiftTo(now, g, r, hash); ok {
+			return d, true
+		}
+	}
+	return Decision{}, false
+}
+
+// idlest returns the region with the lowest utilisation above a bound that
+// may take overflow.
+func (t *Table) idlest(now time.Time, s *service, home string, above float64) *group {
 	var best *group
 	lowest := t.target()
 	for _, g := range s.order {
-		if g.region == r.Region || !g.takesShift(now) {
+		if g.region == home || !g.takesShift(now) {
 			continue
 		}
 		g.note(now)
-		if g.load() < g.slots && g.used.mean < lowest {
+		if g.used.mean < lowest && g.used.mean > above {
 			best, lowest = g, g.used.mean
 		}
 	}
-	if best == nil {
-		return Decision{}, false
-	}
-	p := t.survey(now, best, r, hash)
-	d, ok := t.send(now, best, r, p, ReasonOverflow)
+	return best
+}
+
+// shiftTo sends a request to another region if it gets a grant.
+func (t *Table) shiftTo(now time.Time, g *group, r *Request, hash uint64) (Decision, bool) {
+	p := t.survey(now, g, r, hash)
+	d, ok := t.send(now, g, r, p, ReasonOverflow)
 	if !ok {
 		return Decision{}, false
 	}
-	if !t.cfg.Overflow(now, s.name, r.Region, best.region) {
+	if !t.cfg.Overflow(now, g.service.name, r.Region, g.region) {
 		if r.Alone {
 			p.best.alone--
 		}
 		return Decision{}, false
 	}
-	best.shiftOwn++
-	best.shiftAt = now
+	g.shiftOwn++
+	g.shiftAt = now
 	return d, true
 }
 
@@ -243,7 +276,7 @@
 
 // barred reports whether an upstream must not get this request now.
 func (u *upstream) barred(now time.Time, r *Request) bool {
-	if u.held(now, r.Class) || u.eject.active(now) || (r.Alone && u.alone > 0) {
+	if u.held(now, r.Class) || u.eject.active(now) || u.failing(now) || (r.Alone && u.alone > 0) {
 		return true
 	}
 	for _, id := range r.Tried {
@@ -254,6 +287,22 @@
 	return false
 }
 
+// failing reports whether the upstream failed several times in a row and it is
+// not yet time for the next probe. Unlike an ejection, this leaves a trickle
+// of work, so it has no bound on the number of upstreams.
+func (u *upstream) failing(now time.Time) bool {
+	if u.failures >= failingFrom && (u.own > 0 || now.Before(u.probeAt)) {
+		return true
+	}
+	g := u.group
+	return g.failing() && (g.own > 0 || now.Before(g.probeAt))
+}
+
+// failing reports whether no upstream of the group answers.
+func (g *group) failing() bool {
+	return g.failures >= groupFailing
+}
+
 // room reports whether the upstream's slots, its ramp and the share of its
 // connections leave room for one more request.
 func (u *upstream) room(n float64, v *view) bool {
@@ -264,8 +313,16 @@
 		return false
 	}
 	limit := u.slots * excess
-	// A host below its part of the limit may send, whatever its peers report.
-	return n+1 <= limit || float64(u.own+1) <= limit/v.hosts
+	return n+1 <= limit || (v.below && n+1 <= limit+u.slots)
+}
+
+// below reports whether this host has less than its part of the requests that
+// may be in flight, by what it holds against what all hosts hold. Without
+// this, a host with a long queue would wait for others with none.
+func (g *group) below() bool {
+	own := float64(g.own)*g.present + float64(g.queue.len())
+	all := own + g.peers + float64(g.peersWaiting)
+	return (float64(g.own)*g.present+1)*all <= g.slots*excess*own
 }
 
 // cost is the expected time to answer in units of the group's usual latency.
@@ -292,6 +349,20 @@
 	return r
 }
 
+const (
+	// failingFrom is the number of failures in a row from which an upstream
+	// gets no more than one request per failingProbe.
+	failingFrom  = 2
+	failingProbe = 200 * time.Millisecond
+
+	// failingDoublings is how often that time doubles: up to 1.6 s.
+	failingDoublings = 3
+
+	// groupFailing is the number of failures in a row, over all upstreams of a
+	// service in a region, from which that holds for all of them together.
+	groupFailing = 4
+)
+
 // ratioEnough is the number of answers from which a mean is trusted.
 const ratioEnough = 8
 
--- a/core/agateroute/simload_test.go
+++ b/core/agateroute/simload_test.go
@@ -69,11 +69,12 @@
 
 // workload is what happens during a run.
 type workload struct {
-	name   string
-	load   [simRegions]float64 // demand against capacity, by region
-	shift  float64             // cap of a shift as a share of a region's capacity
-	length time.Duration
-	setup  func(s *sim)
+	name    string
+	load    [simRegions]float64 // demand against capacity, by region
+	shift   float64             // cap of a shift as a share of a region's capacity
+	length  time.Duration
+	prepare func(s *sim) // before the first announcement
+	setup   func(s *sim)
 }
 
 // outcome is what a run measured.
@@ -147,13 +148,18 @@
 
 // sample measures the load of every service in every region.
 func (s *sim) sample() {
-	type sum struct{ slots, held, busy int }
+	type sum struct {
+		slots, held int
+		busy        float64
+	}
 	sums := map[[2]int]sum{}
 	for _, u := range s.ups {
 		k := [2]int{u.service, u.at.region}
 		v := sums[k]
 		v.held += u.held
-		v.busy += len(u.running)
+		u.tally()
+		v.busy += u.busyTime
+		u.busyTime = 0
 		if !u.dead && !u.lost {
 			v.slots += u.slots
 		}
@@ -168,7 +174,7 @@
 		}
 		o.work[k] = append(work, 0)
 		o.slotTime[k] = slots
-		o.busy[k] = append(o.busy[k], float64(v.busy)*loadBin.Seconds())
+		o.busy[k] = append(o.busy[k], v.busy)
 	}
 }
 
@@ -316,6 +322,9 @@
 			s.arrivals(service, region)
 		}
 	}
+	if w.prepare != nil {
+		w.prepare(s)
+	}
 	s.start()
 	return s
 }
