--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -28,10 +28,9 @@
 	tcp  *net.TCPConn
 	addr netip.AddrPort
 	buf  *bufio.Reader
-	// opened and life are when the connection was made and when the peer last
-	// showed life on it.
-	opened time.Time
-	life   time.Time
+	// life is when the peer last showed life: when the connection was opened,
+	// or when bytes last came.
+	life time.Time
 	// until bounds the wait for bytes; probe bounds silence, if positive.
 	until time.Time
 	probe time.Duration
@@ -61,8 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	c := &conn{tcp: nc.(*net.TCPConn), addr: addr, opened: now, life: now}
+	c := &conn{tcp: nc.(*net.TCPConn), addr: addr, life: time.Now()}
 	c.buf = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
 }
@@ -101,9 +99,9 @@
 }
 
 // quiet reports whether an idle connection is open and the peer has sent
-// nothing on it. Bytes without a request must not reach the next caller.
+// nothing on it since its last answer. Bytes without a request must not reach the next caller.
 func (c *conn) quiet() bool {
-	return c.buf.Buffered() == 0 && socketQuiet(c.tcp)
+	return socketQuiet(c.tcp)
 }
 
 func (c *conn) close() {
--- /dev/null
+++ b/io/agateupstream/conn_test.go
@@ -0,0 +1,95 @@
+package agateupstream
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against requests that wait on connections that went silent for good
+// while new ones work.
+func TestSilentConnections(t *testing.T) {
+	s := startUpstream(t, echo)
+	l := startRelay(t, s.addr)
+	p := newPool(t, Config{})
+	fillIdle(t, p, l.addr, 4)
+	l.freeze()
+	call := get(l.addr, "/a")
+	call.Probe = 30 * time.Millisecond
+	r := p.Do(t.Context(), call)
+	assert.Equal(t, r.Kind, TimedOut)
+	assert.Assert(t, r.Started && !r.Died)
+	open, _ := p.Usage("u")
+	assert.Equal(t, open, 0)
+	assert.Equal(t, string(p.Do(t.Context(), get(l.addr, "/b")).Body), "/b")
+}
+
+// fillIdle makes n idle connections.
+func fillIdle(t *testing.T, p *Pool, addr netip.AddrPort, n int) {
+	t.Helper()
+	var wg, at sync.WaitGroup
+	at.Add(n)
+	for range n {
+		wg.Go(func() {
+			call := get(addr, "/fill")
+			call.BeforeWrite = func() bool { at.Done(); at.Wait(); return true }
+			r := p.Do(t.Context(), call)
+			if r.Kind != Answered {
+				t.Error(r.Kind, r.Err)
+			}
+		})
+	}
+	wg.Wait()
+	open, idle := p.Usage("u")
+	assert.Equal(t, [2]int{open, idle}, [2]int{n, n})
+}
+
+// Guards against the loss of connections that showed life after the silent
+// request was written, and the survival of those that did not.
+func TestSilentKeepsLive(t *testing.T) {
+	hangs := make(chan struct{})
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/hang" {
+			close(hangs)
+			w.Read(make([]byte, 1))
+			return false
+		}
+		return echo(w, r)
+	})
+	p := newPool(t, Config{})
+	fillIdle(t, p, s.addr, 3)
+	done := make(chan Reply)
+	go func() {
+		call := get(s.addr, "/hang")
+		call.Probe = time.Second
+		done <- p.Do(t.Context(), call)
+	}()
+	<-hangs
+	assert.Equal(t, p.Do(t.Context(), get(s.addr, "/")).Kind, Answered)
+	assert.Equal(t, (<-done).Kind, TimedOut)
+	open, idle := p.Usage("u")
+	assert.Equal(t, [2]int{open, idle}, [2]int{1, 1})
+}
+
+func TestSocketOptions(t *testing.T) {
+	s := startUpstream(t, echo)
+	p := newPool(t, Config{UserTimeout: 1234 * time.Millisecond})
+	p.Do(t.Context(), get(s.addr, "/"))
+	rc, err := p.upstream("u").idle[0].tcp.SyscallConn()
+	assert.NilError(t, err)
+	for option, want := range map[int]int{
+		unix.TCP_USER_TIMEOUT: 1234, unix.TCP_KEEPIDLE: 1, unix.TCP_KEEPINTVL: 1, unix.TCP_KEEPCNT: 3,
+	} {
+		rc.Control(func(fd uintptr) {
+			got, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+			assert.NilError(t, err)
+			assert.Equal(t, got, want)
+		})
+	}
+}
--- a/io/agateupstream/pool.go
+++ b/io/agateupstream/pool.go
@@ -222,7 +222,9 @@
 	x.join()
 	reusable := stop() && x.reusable
 	if x.silent {
-		u.closeSilent(x.wrote)
+		// The path that swallowed this request may have swallowed the idle
+		// connections too.
+		u.closeIdle(x.wrote)
 	}
 	if x.broke(r) {
 		c.close()
--- a/io/agateupstream/standin_test.go
+++ b/io/agateupstream/standin_test.go
@@ -82,6 +82,16 @@
 	}
 }
 
+// reset ends all connections with a TCP reset.
+func (s *standIn) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
 // relay forwards TCP connections until freeze, which silences the present
 // ones without closing them.
 type relay struct {
--- a/io/agateupstream/upstream.go
+++ b/io/agateupstream/upstream.go
@@ -99,23 +99,13 @@
 	u.open--
 }
 
-// closeIdle closes connections that have shown no life since before.
-func (u *upstream) closeIdle(before time.Time) {
-	u.closeIf(func(c *conn) bool { return c.life.Before(before) })
-}
-
-// closeSilent closes idle connections that were opened before wrote and have
-// shown no life since: the path that swallowed a request may have swallowed
-// theirs too.
-func (u *upstream) closeSilent(wrote time.Time) {
-	u.closeIf(func(c *conn) bool { return c.opened.Before(wrote) && c.life.Before(wrote) })
-}
-
-func (u *upstream) closeIf(unfit func(*conn) bool) {
+// closeIdle closes idle connections that have shown no life since a time.
+// Being opened counts as life.
+func (u *upstream) closeIdle(since time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for i := len(u.idle) - 1; i >= 0; i-- {
-		if unfit(u.idle[i]) {
+		if u.idle[i].life.Before(since) {
 			u.drop(i)
 		}
 	}
