agateroute: travel time of a connection is not load at its upstream

Change: observations may carry the round trip of the network; it is taken off the answer time for load and capacity.

--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -9,6 +9,9 @@
 	// upstream is averaged, and groupWindow that of a group.
 	upstreamWindow = 32
 	groupWindow    = 256
+
+	// leastPresent bounds the part of an answer time that counts as travel.
+	leastPresent = 0.1
 )
 
 // Start counts a request that is about to be sent.
@@ -75,7 +78,7 @@
 		g.latency.whole.add(seconds, groupWindow)
 		g.latency.record(now, o.Latency)
 	}
-	t.measurePresent(g)
+	t.measurePresent(g, o)
 	u.ramp.answered(intime, u.slots*excess)
 	if o.Home != "" && o.Home != g.region {
 		g.shift.answered(intime, g.slots)
@@ -102,14 +105,30 @@
 	return failingProbe << min(max(failed, 0), failingDoublings)
 }
 
-// measurePresent estimates how much of the answer time of another region its
-// upstreams are in use. The rest, against the home region, is travel.
-func (t *Table) measurePresent(g *group) {
-	home := g.service.groups[t.cfg.Region]
-	if g.region == t.cfg.Region || home == nil || home.latency.normal.n < ratioEnough {
+// measurePresent estimates how much of the answer time the upstreams of a
+// group are in use. The rest is travel: as observed, or else what another
+// region takes longer than the home region.
+func (t *Table) measurePresent(g *group, o Observation) {
+	normal := g.latency.normal.mean
+	if normal <= 0 {
 		return
 	}
-	if normal := g.latency.normal.mean; normal > 0 {
-		g.present = min(1, home.latency.normal.mean/normal)
+	if o.Travel > 0 {
+		g.travel.add(o.Travel.Seconds(), groupWindow)
+	}
+	service := normal - g.travel.mean
+	if g.travel.n == 0 {
+		service = t.homeNormal(g)
+	}
+	g.present = min(1, max(leastPresent, service/normal))
+}
+
+// homeNormal is the usual latency of the same service in the home region, if
+// it is known and g is another region, or that of g.
+func (t *Table) homeNormal(g *group) float64 {
+	home := g.service.groups[t.cfg.Region]
+	if home == nil || home.latency.normal.n < ratioEnough {
+		home = g
 	}
+	return home.latency.normal.mean
 }
--- a/core/agateroute/group.go
+++ b/core/agateroute/group.go
@@ -45,6 +45,7 @@
 	peersWaiting int     // in the queues of the others
 	slots        float64 // of the upstreams that take new work
 	latency      latency
+	travel       ewma // seconds of network per answer
 	queue        queue
 	demand       rate
 	failures     int       // in a row, without an answer from any upstream
--- a/core/agateroute/policy_test.go
+++ b/core/agateroute/policy_test.go
@@ -194,6 +194,7 @@
 		longest = max(longest, d)
 	}
 	b.ReportMetric(ms(longest), "drainms")
+	b.ReportMetric(float64(o.shiftCount), "shifted")
 	b.Logf("reasons %v, events %v, retries %d, hedges %d, crashes %d", o.reasons, o.events, o.retries, o.hedges, o.crashes)
 	b.ReportMetric(ms(o.newAfter), "newms")
 }
--- a/core/agateroute/request.go
+++ b/core/agateroute/request.go
@@ -113,6 +113,9 @@
 	Home string
 	// Latency is the time from Start to the end of the attempt.
 	Latency time.Duration
+	// Travel is the part of Latency that is the network's round trip, as
+	// measured when the connection was opened. Zero means unknown.
+	Travel time.Duration
 	// RetryAfter is what the upstream asked for, or zero.
 	RetryAfter time.Duration
 	// Alone repeats Request.Alone.
--- a/core/agateroute/simhost_test.go
+++ b/core/agateroute/simhost_test.go
@@ -201,6 +201,7 @@
 	seen := Observation{
 		Outcome: o, Class: a.r.Class, Home: a.r.Region,
 		Latency: h.s.now - a.sent, Alone: a.r.Alone,
+		Travel: 2 * hop(h.at, a.up.at),
 	}
 	if o == Shed {
 		seen.RetryAfter = 20 * time.Millisecond
--- a/core/agateroute/simideal_test.go
+++ b/core/agateroute/simideal_test.go
@@ -56,6 +56,7 @@
 			continue
 		}
 		if s.grant(r.service, r.home, i) {
+			s.out.shiftCount++
 			s.idealStart(g, r, 2*hopRegion)
 			return true
 		}
--- a/core/agateroute/simload_test.go
+++ b/core/agateroute/simload_test.go
@@ -91,6 +91,7 @@
 	drains        []time.Duration
 	newAfter      time.Duration // last new work after a drain began
 	shifts        map[[3]int][]time.Duration
+	shiftCount    int
 	topShift      float64 // against the cap
 	work          map[[2]int][]float64
 	slotTime      map[[2]int][]float64
@@ -125,6 +126,7 @@
 
 // shifted counts a request that leaves its region.
 func (o *outcome) shifted(s *sim, r *simRequest, u *simUp) {
+	o.shiftCount++
 	key := [3]int{r.service, r.home, u.at.region}
 	sent := o.shifts[key]
 	for len(sent) > 0 && sent[0] <= s.now-time.Second {
--- a/core/agateroute/usage.go
+++ b/core/agateroute/usage.go
@@ -14,7 +14,7 @@
 	Own      int
 	// Waiting is the number of requests in the queue of this entry host.
 	Waiting int
-	// Capacity is slots per answer time, in requests per second, or zero
+	// Capacity is slots per service time, in requests per second, or zero
 	// while no answer has been measured.
 	Capacity float64
 	// Demand is what callers asked of this entry host, in requests per second.
@@ -45,8 +45,9 @@
 		Demand:   g.demand.value(now),
 	}
 	if normal := g.latency.normal.mean; normal > 0 {
-		u.Capacity = g.slots / normal
-		u.Headroom = max(0, u.Capacity*t.target()-g.load()/normal)
+		service := normal * g.present
+		u.Capacity = g.slots / service
+		u.Headroom = max(0, u.Capacity*t.target()-g.load()/service)
 	}
 	return u
 }
