agateroute: requests may wait shortly for a grant

Change: a second bounded queue per group for requests that only another region can answer; it is joined only if the rate of grants promises an answer in time. The reserve of admission is the mean of median and 95th percentile.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -102,6 +102,11 @@
 	if d, ok := t.overflow(now, s, r, hash); ok {
 		return d
 	}
+	if home != nil {
+		if d, ok := t.enqueueAway(now, home, r); ok {
+			return d
+		}
+	}
 	return t.refuse(now, home, r, p)
 }
 
@@ -213,6 +218,9 @@
 	}
 	g.shiftOwn++
 	g.shiftAt = now
+	if home := g.service.groups[r.Region]; home != nil {
+		home.away.used(now, d.Expected)
+	}
 	return d, true
 }
 
--- a/core/agateroute/group.go
+++ b/core/agateroute/group.go
@@ -47,6 +47,7 @@
 	latency      latency
 	travel       ewma // seconds of network per answer
 	queue        queue
+	away         away
 	demand       rate
 	failures     int       // in a row, without an answer from any upstream
 	probeAt      time.Time // when the next request may be sent while failing
@@ -61,6 +62,7 @@
 		service: s,
 		region:  region,
 		queue:   newQueue(bound),
+		away:    away{queue: newQueue(bound)},
 		latency: newLatency(),
 		shift:   ramp{open: 1},
 		present: 1,
--- a/core/agateroute/queue.go
+++ b/core/agateroute/queue.go
@@ -77,7 +77,7 @@
 
 // enqueue lets a request wait for a busy group if it can be answered in time.
 func (t *Table) enqueue(now time.Time, g *group, r *Request, p pick) (Decision, bool) {
-	if p.best != nil || p.busy == 0 || g.failing() || r.Pinned != "" || g.queue.full() {
+	if p.best != nil || p.busy == 0 || g.failing() || r.Pinned != "" || g.queue.full() || g.slots == 0 {
 		return Decision{}, false
 	}
 	wait := g.wait(now, r.Class)
@@ -116,9 +116,10 @@
 }
 
 // reserve is the time that must be left when a request is sent for the answer
-// to arrive in time in nearly all cases.
+// to arrive in time in most cases. The 95th percentile alone refused requests
+// during short bursts that could have been answered.
 func (g *group) reserve() time.Duration {
-	return min(g.latency.p95, g.service.deadline/2)
+	return min((g.latency.p50+g.latency.p95)/2, g.service.deadline/2)
 }
 
 // retryAfter estimates when a refused request could be taken.
@@ -136,10 +137,11 @@
 			t.turn = 0
 		}
 		g := t.groups[t.turn]
-		if !g.queue.empty() {
-			if r, d, ok = t.next(now, g); ok {
-				return r, d, true
-			}
+		if r, d, ok = t.next(now, g); ok {
+			return r, d, true
+		}
+		if r, d, ok = t.nextAway(now, g); ok {
+			return r, d, true
 		}
 		t.turn++
 	}
@@ -148,10 +150,15 @@
 
 // next serves the queue of one group.
 func (t *Table) next(now time.Time, g *group) (Request, Decision, bool) {
-	if g.failing() {
+	if g.queue.empty() {
+		return Request{}, Decision{}, false
+	}
+	if g.failing() || g.slots == 0 {
 		return t.evacuate(now, g)
 	}
-	if r, d, ok := t.expire(now, g); ok {
+	// What is left must allow for the faster half of the answers.
+	if r, d, ok := g.queue.expire(now, g.latency.p50); ok {
+		d.RetryAfter = g.usual()
 		return r, d, true
 	}
 	first := g.queue.first()
@@ -163,46 +170,42 @@
 	return Request{}, Decision{}, false
 }
 
-// evacuate decides at once about a request that waits for upstreams that do
-// not answer any more.
+// evacuate decides at once about requests that wait for upstreams that do not
+// answer any more. Those that may wait for a grant stay undecided.
 func (t *Table) evacuate(now time.Time, g *group) (Request, Decision, bool) {
-	c := agateinventory.Action
-	if len(g.queue.waiting[c]) == 0 {
-		c = agateinventory.Read
+	for !g.queue.empty() {
+		c := agateinventory.Action
+		if len(g.queue.waiting[c]) == 0 {
+			c = agateinventory.Read
+		}
+		r := g.queue.remove(c, 0)
+		if d := t.admit(now, g.service, g, &r); d.Verdict != Wait {
+			return r, d, true
+		}
 	}
-	r := g.queue.remove(c, 0)
-	return r, t.admit(now, g.service, g, &r), true
+	return Request{}, Decision{}, false
 }
 
-// expire refuses the first request that can no longer be answered in time.
-func (t *Table) expire(now time.Time, g *group) (Request, Decision, bool) {
-	if g.slots == 0 {
-		return g.drop(ReasonNone, t.cfg.Interval, func(Request) bool { return true })
-	}
-	// What is left must allow for the faster half of the answers.
-	limit := now.Add(g.latency.p50)
-	if g.queue.earliest.After(limit) {
+// expire refuses the first request that has no more time left than this.
+// Without one, it renews the bound on the deadlines.
+func (q *queue) expire(now time.Time, need time.Duration) (Request, Decision, bool) {
+	limit := now.Add(need)
+	if q.earliest.After(limit) {
 		return Request{}, Decision{}, false
 	}
-	return g.drop(ReasonLate, g.usual(), func(r Request) bool { return !r.Deadline.After(limit) })
-}
-
-// drop refuses the first waiting request that a test names. Without one, it
-// renews the bound on the deadlines.
-func (g *group) drop(why Reason, after time.Duration, doomed func(Request) bool) (Request, Decision, bool) {
 	earliest := time.Time{}
-	for c := range g.queue.waiting {
-		for i, r := range g.queue.waiting[c] {
-			if doomed(r) {
-				r = g.queue.remove(agateinventory.Class(c), i)
-				return r, Decision{Reason: why, RetryAfter: after}, true
+	for c := range q.waiting {
+		for i, r := range q.waiting[c] {
+			if !r.Deadline.After(limit) {
+				r = q.remove(agateinventory.Class(c), i)
+				return r, Decision{Reason: ReasonLate}, true
 			}
 			if earliest.IsZero() || r.Deadline.Before(earliest) {
 				earliest = r.Deadline
 			}
 		}
 	}
-	g.queue.earliest = earliest
+	q.earliest = earliest
 	return Request{}, Decision{}, false
 }
 
--- a/core/agateroute/request.go
+++ b/core/agateroute/request.go
@@ -58,6 +58,7 @@
 	ReasonRetry      Reason = "retry"      // second attempt
 	ReasonHedge      Reason = "hedge"      // duplicate of a slow read
 	ReasonBusy       Reason = "busy"       // every usable upstream is at its limit
+	ReasonGrant      Reason = "grant"      // only another region can answer, and no grant is free
 	ReasonFull       Reason = "full"       // the queue is full
 	ReasonLate       Reason = "late"       // no answer is possible before the deadline
 	ReasonAdmission  Reason = "admission"  // the wait would outlast the deadline
