--- a/core/agateroute/group.go
+++ b/core/agateroute/group.go
@@ -45,7 +45,9 @@
 	peersWaiting int     // in the queues of the others
 	slots        float64 // of the upstreams that take new work
 	latency      latency
+	travel       ewma // seconds of network per answer
 	queue        queue
+	away         away
 	demand       rate
 	failures     int       // in a row, without an answer from any upstream
 	probeAt      time.Time // when the next request may be sent while failing
@@ -60,6 +62,7 @@
 		service: s,
 		region:  region,
 		queue:   newQueue(bound),
+		away:    away{queue: newQueue(bound)},
 		latency: newLatency(),
 		shift:   ramp{open: 1},
 		present: 1,
--- a/core/agateroute/request.go
+++ b/core/agateroute/request.go
@@ -58,6 +58,7 @@
 	ReasonRetry      Reason = "retry"      // second attempt
 	ReasonHedge      Reason = "hedge"      // duplicate of a slow read
 	ReasonBusy       Reason = "busy"       // every usable upstream is at its limit
+	ReasonGrant      Reason = "grant"      // only another region can answer, and no grant is free
 	ReasonFull       Reason = "full"       // the queue is full
 	ReasonLate       Reason = "late"       // no answer is possible before the deadline
 	ReasonAdmission  Reason = "admission"  // the wait would outlast the deadline
@@ -113,6 +114,9 @@
 	Home string
 	// Latency is the time from Start to the end of the attempt.
 	Latency time.Duration
+	// Travel is the part of Latency that is the network's round trip, as
+	// measured when the connection was opened. Zero means unknown.
+	Travel time.Duration
 	// RetryAfter is what the upstream asked for, or zero.
 	RetryAfter time.Duration
 	// Alone repeats Request.Alone.
