agateops, agatecli: operators' HTTP interface and command line

A change carries an id, so an unknown result is sent again safely. A drain edits the newest configuration by compare-and-set and keeps the text of the document.

--- a/core/agateinventory/drain.go
+++ b/core/agateinventory/drain.go
@@ -31,13 +31,24 @@
 	if reflect.DeepEqual(want.Drains, inv.Drains) {
 		return doc, nil
 	}
+	formatted := Format(&want)
+	if _, problems := Parse(file, formatted); len(problems) > 0 {
+		return nil, withoutLines(problems)
+	}
 	text := editText(doc, kind, name, d)
 	if got, problems := Parse(file, text); len(problems) == 0 && reflect.DeepEqual(got, &want) {
 		return text, nil
 	}
-	text = Format(&want)
-	_, problems = Parse(file, text)
-	return text, problems
+	return formatted, nil
+}
+
+// withoutLines clears the lines of problems: they count in a document that
+// nobody has seen.
+func withoutLines(problems Problems) Problems {
+	for i := range problems {
+		problems[i].Line = 0
+	}
+	return problems
 }
 
 // withDrain returns a copy of a list without the drain of a kind and name and
--- /dev/null
+++ b/io/agatecli/check.go
@@ -0,0 +1,92 @@
+package agatecli
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"agategate/core/agateinventory"
+	"agategate/io/agatesettings"
+)
+
+type checkBody struct {
+	File     string                  `json:"file"`
+	Kind     string                  `json:"kind"`
+	Problems agateinventory.Problems `json:"problems"`
+}
+
+func (a *app) check() *ffcli.Command {
+	fs := a.flags("check")
+	kind := fs.String("as", "", "kind of the files: inventory, entry or control (default: by their keys)")
+	asJSON := jsonFlag(fs)
+	return a.command("check", "FILE...", "check inventories and settings without a running system",
+		"agategate check samples/quetzal/inventory.toml samples/quetzal/entry-1.toml", fs,
+		func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return usagef("check needs at least one file")
+			}
+			if *kind != "" && *kind != "inventory" && *kind != "entry" && *kind != "control" {
+				return usagef("--as must be inventory, entry or control, not %q", *kind)
+			}
+			return a.checkFiles(args, *kind, *asJSON)
+		})
+}
+
+func (a *app) checkFiles(files []string, kind string, asJSON bool) error {
+	var failed bool
+	list := make([]checkBody, 0, len(files))
+	for _, file := range files {
+		b, err := checkFile(file, kind)
+		if err != nil {
+			return err
+		}
+		failed = failed || len(b.Problems) > 0
+		list = append(list, b)
+		if !asJSON {
+			a.printCheck(b)
+		}
+	}
+	if asJSON {
+		if err := a.json(list); err != nil {
+			return err
+		}
+	}
+	if failed {
+		return errShown
+	}
+	return nil
+}
+
+func (a *app) printCheck(b checkBody) {
+	for _, p := range b.Problems {
+		fmt.Fprintln(a.cfg.Stderr, p)
+	}
+	if len(b.Problems) == 0 {
+		a.printf("%s: ok (%s)\n", b.File, b.Kind)
+	}
+}
+
+func checkFile(file, kind string) (checkBody, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return checkBody{}, fmt.Errorf("agatecli: %w", err)
+	}
+	if kind == "" {
+		kind = agatesettings.Detect(data)
+	}
+	b := checkBody{File: file, Kind: kind, Problems: agateinventory.Problems{}}
+	src := agatesettings.Source{File: file, Read: func(string) ([]byte, error) { return data, nil }}
+	var problems agateinventory.Problems
+	switch kind {
+	case "entry":
+		_, problems = agatesettings.Load[agatesettings.Entry](src)
+	case "control":
+		_, problems = agatesettings.Load[agatesettings.Control](src)
+	default:
+		_, problems = agateinventory.Parse(file, data)
+	}
+	b.Problems = append(b.Problems, problems...)
+	return b, nil
+}
--- /dev/null
+++ b/io/agatecli/cli.go
@@ -0,0 +1,197 @@
+// Package agatecli is the command line: the commands that start processes and
+// those that operators use.
+//
+// Exit codes are 0 for success, 1 for a failure, 2 for wrong usage, 3 for a
+// change that was refused because another one won, and 4 for control hosts
+// that cannot be reached or a result that is not known.
+//
+// # Usage
+//
+//	os.Exit(agatecli.Run(ctx, agatecli.Config{
+//		Entry: runEntry, Control: runControl, Demo: runDemo,
+//		Environ: os.Environ(), Stdout: os.Stdout, Stderr: os.Stderr,
+//	}, os.Args[1:]))
+package agatecli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"agategate/io/agateops"
+	"agategate/io/agatesettings"
+)
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitRefused     = 3 // another change won
+	ExitUnreachable = 4 // no control host answered, or the result is unknown
+)
+
+// Config connects the commands to the rest of the program.
+type Config struct {
+	// Entry runs an entry process until its context ends.
+	Entry func(ctx context.Context, s agatesettings.Entry) error
+	// Control runs a control replica until its context ends.
+	Control func(ctx context.Context, s agatesettings.Control) error
+	// Demo runs the demo and writes its report to out.
+	Demo func(ctx context.Context, out io.Writer, args []string) error
+	// Reload makes a running process read its settings again at each item,
+	// such as a signal. The default never does.
+	Reload <-chan os.Signal
+	// ReloadEntry and ReloadControl receive settings in which only keys that
+	// take effect without a restart have changed.
+	ReloadEntry   func(s agatesettings.Entry)
+	ReloadControl func(s agatesettings.Control)
+	// Version is what the command version prints. The default is the version
+	// in the build information.
+	Version string
+	// Environ is the environment as os.Environ returns it.
+	Environ []string
+	// Stdout and Stderr receive the output. The defaults are those of the
+	// process.
+	Stdout io.Writer
+	Stderr io.Writer
+}
+
+// app is one run of the command line.
+type app struct {
+	cfg Config
+}
+
+// usageError is a command line that cannot be carried out.
+type usageError struct{ text string }
+
+// Error returns the text.
+func (e *usageError) Error() string { return e.text }
+
+func usagef(format string, args ...any) error {
+	return &usageError{fmt.Sprintf(format, args...)}
+}
+
+// errShown is a failure that has been printed.
+var errShown = errors.New("agatecli: failed")
+
+// Run carries out a command line without the name of the program and returns
+// the exit code.
+func Run(ctx context.Context, cfg Config, args []string) int {
+	if cfg.Stdout == nil {
+		cfg.Stdout = os.Stdout
+	}
+	if cfg.Stderr == nil {
+		cfg.Stderr = os.Stderr
+	}
+	a := &app{cfg: cfg}
+	root := a.root()
+	if len(args) > 0 && args[0] == "help" {
+		args = append(args[1:len(args):len(args)], "-h")
+	}
+	args = reorder(root, args)
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		return a.exit(&usageError{err.Error()})
+	}
+	return a.exit(root.Run(ctx))
+}
+
+// exit prints an error and returns its exit code.
+func (a *app) exit(err error) int {
+	var usage *usageError
+	var call *agateops.CallError
+	switch {
+	case err == nil || errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case errors.Is(err, errShown):
+		return ExitFailed
+	case errors.As(err, &usage):
+		fmt.Fprintf(a.cfg.Stderr, "agategate: %s\nRun 'agategate help' for the commands.\n", usage.text)
+		return ExitUsage
+	case errors.As(err, &call):
+		return a.exitCall(call)
+	}
+	fmt.Fprintf(a.cfg.Stderr, "agategate: %v\n", err)
+	return ExitFailed
+}
+
+func (a *app) exitCall(e *agateops.CallError) int {
+	w := a.cfg.Stderr
+	switch e.Outcome {
+	case agateops.Conflict:
+		fmt.Fprintf(w, "agategate: refused: %s", e.Text)
+		if e.Change != "" {
+			fmt.Fprintf(w, " (revision %d, change %s)", e.Revision, e.Change)
+		}
+		fmt.Fprintln(w)
+		return ExitRefused
+	case agateops.Invalid:
+		fmt.Fprintf(w, "agategate: %s\n", e.Text)
+		for _, p := range e.Problems {
+			fmt.Fprintln(w, p)
+		}
+		return ExitFailed
+	case agateops.NotRun:
+		fmt.Fprintf(w, "agategate: not run: %s\n", e.Text)
+		return ExitUnreachable
+	}
+	fmt.Fprintf(w, "agategate: the result is unknown: %s\n", e.Text)
+	return ExitUnreachable
+}
+
+func (a *app) root() *ffcli.Command {
+	commands := []*ffcli.Command{
+		a.entry(), a.control(), a.check(), a.apply(), a.show(), a.drain(), a.undrain(),
+		a.status(), a.explain(), a.member(), a.demo(), a.version(),
+	}
+	root := &ffcli.Command{
+		Name:       "agategate",
+		ShortUsage: "agategate <command> [flags] [arguments]",
+		LongHelp:   "agategate steers requests between callers and upstreams.\n\nExit codes: 0 done, 1 failed, 2 wrong usage, 3 refused because another change won,\n4 no control host could be reached or the result is unknown.",
+		FlagSet:    a.flags("agategate"),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return usagef("a command is missing")
+			}
+			return usagef("%q is not a command", args[0])
+		},
+	}
+	for _, c := range commands {
+		c.UsageFunc = usage
+		root.Subcommands = append(root.Subcommands, c)
+	}
+	root.UsageFunc = usage
+	return root
+}
+
+// flags returns an empty set of flags that reports its errors to Run.
+func (a *app) flags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(a.cfg.Stdout)
+	return fs
+}
+
+// command builds a command with an example in its help.
+func (a *app) command(name, args, short, example string, fs *flag.FlagSet, run func(ctx context.Context, args []string) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: strings.TrimSpace("agategate " + name + " [flags] " + args),
+		ShortHelp:  short,
+		LongHelp:   short + ".\n\nExample:\n  " + example,
+		FlagSet:    fs,
+		Exec:       run,
+	}
+}
+
+func (a *app) printf(format string, args ...any) {
+	fmt.Fprintf(a.cfg.Stdout, format, args...)
+}
--- /dev/null
+++ b/io/agatecli/cli_test.go
@@ -0,0 +1,194 @@
+package agatecli_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"gotest.tools/v3/assert"
+
+	"agategate/io/agatecli"
+	"agategate/io/agatelog"
+	"agategate/io/agateops"
+	"agategate/io/agatesettings"
+)
+
+// TestMain lets the scripts run the command line as a program.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"agategate": func() {
+		os.Exit(agatecli.Run(context.Background(), agatecli.Config{
+			Entry: func(_ context.Context, s agatesettings.Entry) error {
+				fmt.Println("entry", s.Name, s.Log.Level, s.Limit.Queue)
+				return nil
+			},
+			Control: func(context.Context, agatesettings.Control) error {
+				return errors.New("agatecontrol: the data directory is in use")
+			},
+			Demo: func(_ context.Context, out io.Writer, args []string) error {
+				_, err := fmt.Fprintln(out, "demo", args)
+				return err
+			},
+			Version: "v0.test", Environ: os.Environ(),
+		}, os.Args[1:]))
+	}})
+}
+
+// Each script guards one command's output and exit codes.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exits": exits,
+		},
+		Setup: func(env *testscript.Env) error {
+			c := &control{hosts: []agateops.Host{{Name: "entry-1", Region: "centro", Alive: true}, {Name: "entry-2", Region: "oriente", Alive: true}}}
+			srv := httptest.NewServer(agateops.New(c.config()))
+			env.Defer(srv.Close)
+			env.Setenv("AGATEGATE_CONTROL", srv.Listener.Addr().String())
+			// The race detector otherwise waits 1 s at each exit.
+			env.Setenv("GORACE", "atexit_sleep_ms=0")
+			env.Setenv("SERVER", srv.Listener.Addr().String())
+			return nil
+		},
+	})
+}
+
+// exits runs a program and checks its exit code.
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits CODE PROGRAM [ARGUMENT...]")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	got := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// control is a control replica with one configuration register in memory. A
+// host has a revision in force when the status has been read twice since.
+type control struct {
+	mu      sync.Mutex
+	current agateops.Configuration
+	answers map[string]agateops.ChangeResult
+	hosts   []agateops.Host
+	reads   int
+}
+
+var done = agateops.Reply{Outcome: agateops.Done}
+
+func (c *control) config() agateops.Config {
+	c.answers = make(map[string]agateops.ChangeResult)
+	return agateops.Config{Apply: c.apply, Config: c.read, Status: c.status, Explain: explain, Members: members}
+}
+
+func (c *control) apply(_ context.Context, r agateops.ChangeRequest) agateops.ChangeResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old, ok := c.answers[r.Change]; ok {
+		return old
+	}
+	result := agateops.ChangeResult{Reply: agateops.Reply{Outcome: agateops.Conflict}, Revision: c.current.Revision, Change: c.current.Change}
+	if r.Base == c.current.Revision {
+		c.reads = 0
+		c.current = agateops.Configuration{Revision: r.Base + 1, Change: r.Change, At: time.Unix(1e9, 0), Document: r.Document}
+		result = agateops.ChangeResult{Reply: done, Revision: r.Base + 1}
+	}
+	c.answers[r.Change] = result
+	return result
+}
+
+func (c *control) read(context.Context) agateops.ConfigResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return agateops.ConfigResult{Reply: done, Configuration: c.current}
+}
+
+func (c *control) status(context.Context) agateops.StatusResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reads++; c.reads >= 2 {
+		for i := range c.hosts {
+			c.hosts[i].Revision, c.hosts[i].Took = c.current.Revision, 120*time.Millisecond
+		}
+	}
+	return agateops.StatusResult{Reply: done, Status: agateops.Status{
+		Leader: "control-1", Term: 3, Revision: c.current.Revision, Change: c.current.Change, At: c.current.At,
+		Members:   []agateops.Member{{ID: 1, Name: "control-1", Address: "127.0.2.1:9000", Role: "leader", Alive: true}},
+		Hosts:     append([]agateops.Host(nil), c.hosts...),
+		Upstreams: []agateops.Upstreams{{Service: "labels", Region: "centro", Capacity: 120, Demand: 40.5}},
+		Grants:    []agateops.Grant{{Host: "entry-1", Service: "labels", From: "centro", To: "oriente", Requests: 10}},
+		Drains:    []agateops.Drain{{Kind: "host", Name: "entry-2", Share: 0.5}},
+	}}
+}
+
+func explain(_ context.Context, request string) agateops.ExplainResult {
+	if request != "entry-1-4f2a" {
+		return agateops.ExplainResult{Reply: done}
+	}
+	return agateops.ExplainResult{Reply: done, Missing: []string{"entry-2"}, Hosts: []agateops.HostDecisions{{
+		Host: "entry-1", Decisions: []agatelog.Decision{{
+			Time: time.Unix(1e9, 0), Request: request, Service: "labels", Kind: agatelog.Route, Action: true,
+			Choice: "labels-4", Reason: "shortest expected answer", Outcome: agatelog.Sent, Took: 1500 * time.Microsecond,
+			Considered: []agatelog.Candidate{{Name: "labels-4", Cost: 12 * time.Millisecond}, {Name: "labels-5", Note: "draining"}},
+		}},
+	}}}
+}
+
+func members(_ context.Context, r agateops.MemberRequest) agateops.MemberResult {
+	if r.Action == agateops.Promote {
+		return agateops.MemberResult{Reply: agateops.Reply{Outcome: agateops.Conflict, Reason: "the learner has no full copy yet"}}
+	}
+	return agateops.MemberResult{Reply: done, Members: []agateops.Member{{ID: 6, Name: r.Name, Address: r.Address, Role: "learner"}}}
+}
+
+// Settings that are read again must take effect only where no restart is
+// needed, and broken ones must leave the running ones in force.
+func TestReload(t *testing.T) {
+	file := t.TempDir() + "/entry.toml"
+	write := func(level, name string) {
+		text := fmt.Sprintf("name = %q\nregion = \"centro\"\ndomain = \"centro-a\"\ncaller = \"127.0.1.1:8080\"\npeer = \"127.0.1.1:8081\"\n"+
+			"replicas = [\"127.0.2.1:9000\"]\ntls.insecure = true\nlog.level = %q\n", name, level)
+		assert.NilError(t, os.WriteFile(file, []byte(text), 0o644))
+	}
+	write("info", "entry-1")
+	signals := make(chan os.Signal)
+	settings := make(chan agatesettings.Entry)
+	var stderr strings.Builder
+	code := agatecli.Run(t.Context(), agatecli.Config{
+		Reload:      signals,
+		ReloadEntry: func(s agatesettings.Entry) { settings <- s },
+		Stderr:      &stderr,
+		Entry: func(_ context.Context, s agatesettings.Entry) error {
+			assert.Check(t, s.Log.Level == "info")
+			write("loud", "entry-1")
+			signals <- os.Interrupt
+			write("debug", "entry-2")
+			signals <- os.Interrupt
+			s = <-settings
+			assert.Check(t, s.Log.Level == "debug" && s.Name == "entry-1")
+			return nil
+		},
+	}, []string{"entry", "--settings", file})
+	assert.Equal(t, code, agatecli.ExitOK)
+	assert.Assert(t, strings.Contains(stderr.String(), "settings stay as they are"))
+	assert.Assert(t, strings.Contains(stderr.String(), "in force [log.level], after a restart [name]"))
+}
--- /dev/null
+++ b/io/agatecli/drain.go
@@ -0,0 +1,67 @@
+package agatecli
+
+import (
+	"context"
+	"flag"
+	"slices"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"agategate/core/agateinventory"
+	"agategate/io/agateops"
+)
+
+var drainKinds = []string{"upstream", "host", "domain", "region"}
+
+func (a *app) drain() *ffcli.Command {
+	fs := a.flags("drain")
+	share := fs.Float64("share", 1, "part of the work to keep away, above 0 and at most 1")
+	c := a.drainCommand("drain", "keep new work away from an upstream, host, failure domain or region",
+		"agategate drain --control 127.0.2.1:9001 --share 0.5 region centro", fs,
+		func(ctx context.Context, client *agateops.Client, r agateops.DrainRequest) (agateops.Revision, error) {
+			r.Share = *share
+			return client.Drain(ctx, r)
+		})
+	run := c.Exec
+	c.Exec = func(ctx context.Context, args []string) error {
+		if !(*share > 0 && *share <= 1) {
+			return usagef("--share must be above 0 and at most 1")
+		}
+		return run(ctx, args)
+	}
+	return c
+}
+
+func (a *app) undrain() *ffcli.Command {
+	return a.drainCommand("undrain", "end a drain",
+		"agategate undrain --control 127.0.2.1:9001 region centro", a.flags("undrain"),
+		func(ctx context.Context, client *agateops.Client, r agateops.DrainRequest) (agateops.Revision, error) {
+			return client.Undrain(ctx, r)
+		})
+}
+
+type drainCall func(ctx context.Context, client *agateops.Client, r agateops.DrainRequest) (agateops.Revision, error)
+
+func (a *app) drainCommand(name, short, example string, fs *flag.FlagSet, call drainCall) *ffcli.Command {
+	r := a.remote(fs)
+	change := fs.String("change", "", "id of the change, to send a change again after an unknown result")
+	wait := fs.Bool("wait", false, "wait until the revision is in force on all entry hosts")
+	asJSON := jsonFlag(fs)
+	return a.command(name, "KIND NAME", short, example, fs, func(ctx context.Context, args []string) error {
+		if len(args) != 2 || !slices.Contains(drainKinds, args[0]) {
+			return usagef("%s needs a kind (upstream, host, domain or region) and a name", name)
+		}
+		client, ctx, cancel, err := r.open(ctx)
+		if err != nil {
+			return err
+		}
+		defer cancel()
+		req := agateops.DrainRequest{Kind: agateinventory.DrainKind(args[0]), Name: args[1], Change: *change}
+		if req.Change == "" {
+			req.Change = newChange()
+		}
+		a.warnf("change %s\n", req.Change)
+		rev, err := call(ctx, client, req)
+		return a.finish(ctx, client, rev, err, *wait, *asJSON)
+	})
+}
--- /dev/null
+++ b/io/agatecli/operator.go
@@ -0,0 +1,94 @@
+package agatecli
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"strings"
+	"time"
+
+	"agategate/io/agateops"
+	"agategate/io/agatesettings"
+)
+
+// defaultTimeout is the time for one operator command. A change is in force
+// everywhere within seconds, and an election takes about one.
+const defaultTimeout = 30 * time.Second
+
+// remote is the flags of commands that call control hosts.
+type remote struct {
+	app     *app
+	hosts   []string
+	tls     agatesettings.TLS
+	timeout time.Duration
+}
+
+func (a *app) remote(fs *flag.FlagSet) *remote {
+	r := &remote{app: a}
+	fs.Func("control", "admin address of a control host, repeatable or comma separated (environment AGATEGATE_CONTROL)", func(s string) error {
+		r.hosts = append(r.hosts, split(s)...)
+		return nil
+	})
+	fs.StringVar(&r.tls.CA, "ca", a.env("AGATEGATE_CA"), "file with the certificates that sign control hosts, for https (environment AGATEGATE_CA)")
+	fs.StringVar(&r.tls.Cert, "cert", a.env("AGATEGATE_CERT"), "file with the operator's certificate (environment AGATEGATE_CERT)")
+	fs.StringVar(&r.tls.Key, "key", a.env("AGATEGATE_KEY"), "file with the operator's private key (environment AGATEGATE_KEY)")
+	fs.DurationVar(&r.timeout, "timeout", defaultTimeout, "time for the whole command")
+	return r
+}
+
+func split(s string) []string {
+	var list []string
+	for part := range strings.SplitSeq(s, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
+func (a *app) env(name string) string {
+	for _, pair := range a.cfg.Environ {
+		if key, val, _ := strings.Cut(pair, "="); key == name {
+			return val
+		}
+	}
+	return ""
+}
+
+// open returns a client and a context with the timeout of the command.
+func (r *remote) open(ctx context.Context) (*agateops.Client, context.Context, context.CancelFunc, error) {
+	hosts := r.hosts
+	if len(hosts) == 0 {
+		hosts = split(r.app.env("AGATEGATE_CONTROL"))
+	}
+	if len(hosts) == 0 {
+		return nil, nil, nil, usagef("name the control hosts with --control or AGATEGATE_CONTROL")
+	}
+	var secure *tls.Config
+	if r.tls.CA != "" || r.tls.Cert != "" || r.tls.Key != "" {
+		var err error
+		if secure, err = r.tls.Config(); err != nil {
+			return nil, nil, nil, err
+		}
+	}
+	client, err := agateops.NewClient(agateops.ClientConfig{Hosts: hosts, TLS: secure})
+	if err != nil {
+		return nil, nil, nil, usagef("%v", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	return client, ctx, cancel, nil
+}
+
+// newChange returns a change id that no other operator has.
+func newChange() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // never fails; the runtime ends the process instead
+	return hex.EncodeToString(b[:])
+}
+
+func (a *app) warnf(format string, args ...any) {
+	fmt.Fprintf(a.cfg.Stderr, format, args...)
+}
--- /dev/null
+++ b/io/agatecli/process.go
@@ -0,0 +1,155 @@
+package agatecli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"runtime/debug"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"agategate/io/agatesettings"
+)
+
+func (a *app) entry() *ffcli.Command {
+	fs := a.flags("entry")
+	file := fs.String("settings", "", "file with the settings")
+	flags := agatesettings.Register[agatesettings.Entry](fs)
+	return a.command("entry", "", "run an entry process",
+		"agategate entry --settings samples/quetzal/entry-1.toml", fs,
+		func(ctx context.Context, args []string) error {
+			return process(ctx, a, args, *file, flags, a.cfg.Entry, a.cfg.ReloadEntry)
+		})
+}
+
+func (a *app) control() *ffcli.Command {
+	fs := a.flags("control")
+	file := fs.String("settings", "", "file with the settings")
+	flags := agatesettings.Register[agatesettings.Control](fs)
+	return a.command("control", "", "run a control replica",
+		"agategate control --settings samples/quetzal/control-1.toml", fs,
+		func(ctx context.Context, args []string) error {
+			return process(ctx, a, args, *file, flags, a.cfg.Control, a.cfg.ReloadControl)
+		})
+}
+
+// process loads the settings and runs a process with them.
+func process[T agatesettings.Settings](ctx context.Context, a *app, args []string, file string, flags *agatesettings.Flags,
+	run func(context.Context, T) error, reload func(T),
+) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	if run == nil {
+		return errors.New("agatecli: this program cannot run the process")
+	}
+	src := agatesettings.Source{File: file, Environ: a.cfg.Environ, Flags: flags.Values()}
+	s, problems := agatesettings.Load[T](src)
+	if len(problems) > 0 {
+		return a.refuse(problems)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go reloads(ctx, a, src, s, reload)
+	return run(ctx, s)
+}
+
+func noArgs(args []string) error {
+	if len(args) > 0 {
+		return usagef("unexpected argument %q", args[0])
+	}
+	return nil
+}
+
+// reloads reads the settings again whenever it is asked to. Settings with a
+// problem leave the running ones in force.
+func reloads[T agatesettings.Settings](ctx context.Context, a *app, src agatesettings.Source, s T, reload func(T)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.cfg.Reload:
+		}
+		updated, problems := agatesettings.Load[T](src)
+		if len(problems) > 0 {
+			fmt.Fprintf(a.cfg.Stderr, "agategate: settings stay as they are:\n%v\n", problems)
+			continue
+		}
+		applied, restart := agatesettings.Reload(s, updated)
+		fmt.Fprintf(a.cfg.Stderr, "agategate: settings read again: in force %v, after a restart %v\n", applied, restart)
+		s = agatesettings.Merge(s, updated)
+		if reload != nil {
+			reload(s)
+		}
+	}
+}
+
+// refuse prints problems, one per line.
+func (a *app) refuse(problems agatesettings.Problems) error {
+	for _, p := range problems {
+		fmt.Fprintln(a.cfg.Stderr, p)
+	}
+	return errShown
+}
+
+func (a *app) demo() *ffcli.Command {
+	return a.command("demo", "[arguments]", "run control and entry roles with test upstreams in one process",
+		"agategate demo", a.flags("demo"),
+		func(ctx context.Context, args []string) error {
+			if a.cfg.Demo == nil {
+				return errors.New("agatecli: this program has no demo")
+			}
+			return a.cfg.Demo(ctx, a.cfg.Stdout, args)
+		})
+}
+
+func (a *app) version() *ffcli.Command {
+	fs := a.flags("version")
+	asJSON := jsonFlag(fs)
+	return a.command("version", "", "print the version", "agategate version --json", fs,
+		func(_ context.Context, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			v := versionOf(a.cfg.Version)
+			if *asJSON {
+				return a.json(v)
+			}
+			a.printf("agategate %s (%s)\n", v.Version, v.Go)
+			return nil
+		})
+}
+
+type versionBody struct {
+	Version string `json:"version"`
+	Commit  string `json:"commit"`
+	Go      string `json:"go"`
+}
+
+func versionOf(version string) versionBody {
+	v := versionBody{Version: version}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return v
+	}
+	v.Go = info.GoVersion
+	if v.Version == "" {
+		v.Version = info.Main.Version
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			v.Commit = s.Value
+		}
+	}
+	return v
+}
+
+func jsonFlag(fs *flag.FlagSet) *bool { return fs.Bool("json", false, "print JSON for tools") }
+
+func (a *app) json(v any) error {
+	enc := json.NewEncoder(a.cfg.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- /dev/null
+++ b/io/agateops/fake_test.go
@@ -0,0 +1,148 @@
+package agateops_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"agategate/io/agatelog"
+	"agategate/io/agateops"
+)
+
+// group is a control group with one configuration register, kept in memory.
+type group struct {
+	mu       sync.Mutex
+	current  agateops.Configuration
+	answers  map[string]agateops.ChangeResult
+	accepted int
+	// forget makes the group store only accepted answers.
+	forget bool
+	// fault may replace the reply after the change was carried out.
+	fault func(replica string, r agateops.ChangeResult) agateops.ChangeResult
+	// down makes a replica refuse before anything is proposed.
+	down   map[string]bool
+	leader string // admin address
+}
+
+func newGroup() *group {
+	return &group{answers: make(map[string]agateops.ChangeResult), down: make(map[string]bool)}
+}
+
+func (g *group) apply(r agateops.ChangeRequest) agateops.ChangeResult {
+	if old, ok := g.answers[r.Change]; ok {
+		return old
+	}
+	result := agateops.ChangeResult{Reply: agateops.Reply{Outcome: agateops.Conflict}, Revision: g.current.Revision, Change: g.current.Change}
+	if r.Base == g.current.Revision {
+		g.accepted++
+		g.current = agateops.Configuration{Revision: r.Base + 1, Change: r.Change, At: time.Unix(1e9, 0), Document: r.Document}
+		result = agateops.ChangeResult{Reply: agateops.Reply{Outcome: agateops.Done}, Revision: r.Base + 1, Change: r.Change}
+	}
+	if result.Outcome == agateops.Done || !g.forget {
+		g.answers[r.Change] = result
+	}
+	return result
+}
+
+// replica returns the function fields of one replica. The replica leads if
+// its address is that of the leader or no leader is set.
+func (g *group) replica(name string, addr func() string) agateops.Config {
+	lead := func() (agateops.Reply, bool) {
+		if g.down[name] {
+			return agateops.Reply{Outcome: agateops.NotRun, Reason: "no majority"}, false
+		}
+		if g.leader != "" && g.leader != addr() {
+			return agateops.Reply{Outcome: agateops.Elsewhere, Leader: strings.TrimSuffix(g.leader, "?")}, false
+		}
+		return agateops.Reply{Outcome: agateops.Done}, true
+	}
+	return agateops.Config{
+		Apply: func(_ context.Context, r agateops.ChangeRequest) agateops.ChangeResult {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			reply, ok := lead()
+			if !ok {
+				return agateops.ChangeResult{Reply: reply}
+			}
+			result := g.apply(r)
+			if g.fault != nil {
+				result = g.fault(name, result)
+			}
+			return result
+		},
+		Config: func(context.Context) agateops.ConfigResult {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			reply, _ := lead()
+			return agateops.ConfigResult{Reply: reply, Configuration: g.current}
+		},
+		Status: func(context.Context) agateops.StatusResult {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			reply, _ := lead()
+			return agateops.StatusResult{Reply: reply, Status: agateops.Status{Name: name, Revision: g.current.Revision}}
+		},
+		Explain: func(_ context.Context, request string) agateops.ExplainResult {
+			r := agateops.ExplainResult{Reply: agateops.Reply{Outcome: agateops.Done}}
+			if request == "r1" {
+				r.Hosts = []agateops.HostDecisions{{Host: "entry-1", Decisions: []agatelog.Decision{{Request: "r1", Kind: agatelog.Route}}}}
+			}
+			return r
+		},
+		Members: func(_ context.Context, r agateops.MemberRequest) agateops.MemberResult {
+			if r.ID == 9 {
+				return agateops.MemberResult{Reply: agateops.Reply{Outcome: agateops.Conflict, Reason: "the learner has no full copy yet"}}
+			}
+			return agateops.MemberResult{Reply: agateops.Reply{Outcome: agateops.Done}, Members: []agateops.Member{{ID: r.ID, Name: r.Name, Address: r.Address, Role: "learner"}}}
+		},
+		Ready: func() error { return nil },
+		Call:  5 * time.Second,
+	}
+}
+
+// start serves a replica on loopback.
+func (g *group) start(t *testing.T, name string) *httptest.Server {
+	t.Helper()
+	var srv *httptest.Server
+	handler := agateops.New(g.replica(name, func() string { return srv.Listener.Addr().String() }))
+	srv = httptest.NewUnstartedServer(handler)
+	srv.Start()
+	t.Cleanup(srv.Close)
+	return srv
+}
+
+func (g *group) client(t *testing.T, servers ...*httptest.Server) *agateops.Client {
+	t.Helper()
+	cfg := agateops.ClientConfig{Pause: time.Millisecond}
+	for _, s := range servers {
+		cfg.Hosts = append(cfg.Hosts, s.URL)
+	}
+	c, err := agateops.NewClient(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// cut is a server that takes a request and closes the connection without a
+// reply.
+func cut(t *testing.T, before http.Handler) *httptest.Server {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		before.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(srv.Close)
+	return srv
+}
+
+const document = `target = 0.8
+
+[[region]]
+name = "centro"
+domains = ["centro-a", "centro-b"]
+`
--- /dev/null
+++ b/io/agateops/ops_test.go
@@ -0,0 +1,316 @@
+package agateops_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"gotest.tools/v3/assert"
+
+	"agategate/core/agateinventory"
+	"agategate/io/agateops"
+)
+
+// The statuses, headers and bodies are an interface for tools.
+func TestExchanges(t *testing.T) {
+	ar, err := txtar.ParseFile("testdata/http.txtar")
+	assert.NilError(t, err)
+	handler := agateops.New(newGroup().replica("control-1", func() string { return "" }))
+	for _, f := range ar.Files {
+		ask, want, ok := strings.Cut(string(f.Data), "=>\n")
+		assert.Assert(t, ok, f.Name)
+		got := exchange(handler, ask)
+		status, parts, _ := strings.Cut(want, "\n")
+		assert.Equal(t, strings.Fields(got)[1], status, "%s: %s", f.Name, got)
+		for line := range strings.Lines(parts) {
+			assert.Assert(t, strings.Contains(got, strings.TrimSpace(line)), "%s: no %s in %s", f.Name, line, got)
+		}
+	}
+}
+
+// exchange returns the status line, headers and body of a reply.
+func exchange(handler http.Handler, ask string) string {
+	line, rest, _ := strings.Cut(ask, "\n")
+	method, path, _ := strings.Cut(line, " ")
+	header := http.Header{}
+	for strings.HasPrefix(rest, "> ") {
+		line, rest, _ = strings.Cut(rest[2:], "\n")
+		key, val, _ := strings.Cut(line, ": ")
+		header.Set(key, val)
+	}
+	req := httptest.NewRequest(method, path, strings.NewReader(rest))
+	req.Header = header
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, req)
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "status %d\n", w.Code)
+	_ = w.Header().Write(&b)
+	b.Write(w.Body.Bytes())
+	return b.String()
+}
+
+func outcomeOf(t *testing.T, err error) agateops.Outcome {
+	t.Helper()
+	if err == nil {
+		return agateops.Done
+	}
+	var call *agateops.CallError
+	assert.Assert(t, errors.As(err, &call), "%v", err)
+	return call.Outcome
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func change(id string, base uint64) agateops.ChangeRequest {
+	return agateops.ChangeRequest{Change: id, Base: base, Document: []byte(document)}
+}
+
+// A follower must lead the client to the leader.
+func TestClientFollowsLeader(t *testing.T) {
+	g := newGroup()
+	a, b := g.start(t, "a"), g.start(t, "b")
+	g.leader = b.Listener.Addr().String()
+	rev, err := g.client(t, a, b).Apply(within(t, 10*time.Second), change("c1", 0))
+	assert.NilError(t, err)
+	assert.Equal(t, rev.Revision, uint64(1))
+	resp, err := http.DefaultTransport.RoundTrip(httptest.NewRequest("GET", a.URL+"/v1/status?x=1", nil))
+	assert.NilError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, 307)
+	assert.Equal(t, resp.Header.Get("Location"), b.URL+"/v1/status?x=1")
+	assert.Equal(t, resp.Header.Get("Agate-Leader"), g.leader)
+	assert.Equal(t, resp.Header.Get("Agate-Outcome"), "not-run")
+}
+
+// Replicas that name each other, or none, must not trap the client.
+func TestClientWithoutLeader(t *testing.T) {
+	g := newGroup()
+	a := g.start(t, "a")
+	g.leader = "?"
+	_, err := g.client(t, a).Apply(within(t, 900*time.Millisecond), change("c1", 0))
+	assert.Equal(t, outcomeOf(t, err), agateops.NotRun)
+	loop := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, "http://"+r.Host+r.URL.Path, http.StatusTemporaryRedirect)
+	}))
+	defer loop.Close()
+	_, err = g.client(t, loop).Config(within(t, 50*time.Millisecond))
+	assert.Equal(t, outcomeOf(t, err), agateops.NotRun)
+}
+
+// A change whose answer was lost must be accepted once, and the resend must
+// get the first answer.
+func TestClientResendsUnknownResult(t *testing.T) {
+	g := newGroup()
+	lost := cut(t, agateops.New(g.replica("a", func() string { return "" })))
+	b := g.start(t, "b")
+	rev, err := g.client(t, lost, b).Apply(within(t, 10*time.Second), change("c1", 0))
+	assert.NilError(t, err)
+	assert.Equal(t, rev.Revision, uint64(1))
+	assert.Equal(t, g.accepted, 1)
+	fails := 2
+	g.fault = func(_ string, r agateops.ChangeResult) agateops.ChangeResult {
+		if fails--; fails >= 0 {
+			r.Reply = agateops.Reply{Outcome: agateops.Unknown, Reason: "the majority did not answer in time"}
+		}
+		return r
+	}
+	rev, err = g.client(t, b).Apply(within(t, 20*time.Second), change("c2", 1))
+	assert.NilError(t, err)
+	assert.Equal(t, rev.Revision, uint64(2))
+	assert.Equal(t, g.accepted, 2)
+}
+
+// A result that stays unknown must not be reported as not run, even if later
+// attempts were not run.
+func TestClientReportsUnknown(t *testing.T) {
+	g := newGroup()
+	lost := cut(t, agateops.New(g.replica("a", func() string { return "" })))
+	b := g.start(t, "b")
+	g.down["b"] = true
+	_, err := g.client(t, lost, b).Apply(within(t, 900*time.Millisecond), change("c1", 0))
+	assert.Equal(t, outcomeOf(t, err), agateops.Unknown)
+	g.down["a"] = true
+	_, err = g.client(t, b).Apply(within(t, 900*time.Millisecond), change("c2", 0))
+	assert.Equal(t, outcomeOf(t, err), agateops.NotRun)
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	_, err = g.client(t, closed).Apply(within(t, 300*time.Millisecond), change("c3", 0))
+	assert.Equal(t, outcomeOf(t, err), agateops.NotRun)
+}
+
+// Of two operators with equal revisions one must win, and the other must be
+// told which change did.
+func TestOperatorsRace(t *testing.T) {
+	g := newGroup()
+	a := g.start(t, "a")
+	var wg sync.WaitGroup
+	errs := make([]error, 2)
+	for i := range errs {
+		c := g.client(t, a)
+		wg.Go(func() { _, errs[i] = c.Apply(within(t, 10*time.Second), change(fmt.Sprint("c", i), 0)) })
+	}
+	wg.Wait()
+	won, lost := 0, 1
+	if errs[0] != nil {
+		won, lost = 1, 0
+	}
+	assert.NilError(t, errs[won])
+	var call *agateops.CallError
+	assert.Assert(t, errors.As(errs[lost], &call))
+	assert.Equal(t, call.Outcome, agateops.Conflict)
+	assert.Equal(t, call.Change, fmt.Sprint("c", won))
+	assert.Equal(t, call.Revision, uint64(1))
+}
+
+// Concurrent drains must all take effect, whether or not the group stores the
+// answers to changes that lost.
+func TestConcurrentDrains(t *testing.T) {
+	for _, forget := range []bool{false, true} {
+		g := newGroup()
+		g.forget = forget
+		a := g.start(t, "a")
+		_, err := g.client(t, a).Apply(within(t, 10*time.Second), change("c0", 0))
+		assert.NilError(t, err)
+		var wg sync.WaitGroup
+		for i := range 5 {
+			c := g.client(t, a)
+			wg.Go(func() {
+				_, err := c.Drain(within(t, 10*time.Second), agateops.DrainRequest{
+					Kind: agateinventory.DrainUpstream, Name: fmt.Sprint("labels-", i), Change: fmt.Sprint("d", i),
+				})
+				assert.Check(t, err)
+			})
+		}
+		wg.Wait()
+		inv, problems := agateinventory.Parse("f", g.current.Document)
+		assert.Equal(t, len(problems), 0)
+		assert.Equal(t, len(inv.Drains), 5)
+	}
+}
+
+// A drain that is sent again after somebody ended it must get its first
+// answer and not drain again.
+func TestResentDrain(t *testing.T) {
+	for _, forget := range []bool{false, true} {
+		g := newGroup()
+		g.forget = forget
+		c := g.client(t, g.start(t, "a"))
+		ctx := within(t, 10*time.Second)
+		_, err := c.Apply(ctx, change("c0", 0))
+		assert.NilError(t, err)
+		drain := agateops.DrainRequest{Kind: agateinventory.DrainDomain, Name: "centro-a", Change: "d1"}
+		rival := false
+		g.fault = func(_ string, r agateops.ChangeResult) agateops.ChangeResult {
+			if !rival {
+				rival = true
+				g.apply(agateops.ChangeRequest{Change: "x", Base: g.current.Revision, Document: g.current.Document})
+			}
+			return r
+		}
+		first, err := c.Drain(ctx, drain)
+		assert.NilError(t, err)
+		undrain := drain
+		undrain.Change = "u1"
+		_, err = c.Undrain(ctx, undrain)
+		assert.NilError(t, err)
+		again, err := c.Drain(ctx, drain)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Revision, first.Revision)
+		assert.Assert(t, !strings.Contains(string(g.current.Document), "drain"))
+	}
+}
+
+// A change of members has no id, so an unknown result must not be sent again.
+func TestMembersAreSentOnce(t *testing.T) {
+	var sent atomic.Int32
+	lost := cut(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { sent.Add(1) }))
+	c, err := agateops.NewClient(agateops.ClientConfig{Hosts: []string{lost.URL}, Pause: time.Millisecond})
+	assert.NilError(t, err)
+	_, err = c.Members(within(t, time.Second), agateops.MemberRequest{Action: agateops.Remove, ID: 3})
+	assert.Equal(t, outcomeOf(t, err), agateops.Unknown)
+	assert.Equal(t, sent.Load(), int32(1))
+}
+
+// Addresses that cannot be called must be refused before anything is sent.
+func TestClientRefusesAddresses(t *testing.T) {
+	for _, host := range []string{"", "ftp://a", "http://", "http://a/path", ":/x"} {
+		_, err := agateops.NewClient(agateops.ClientConfig{Hosts: []string{host}})
+		assert.Assert(t, err != nil, host)
+	}
+	_, err := agateops.NewClient(agateops.ClientConfig{})
+	assert.Assert(t, err != nil)
+}
+
+// Slow and greedy clients must not exhaust a control host.
+func TestServerLimits(t *testing.T) {
+	g := newGroup()
+	cfg := g.replica("a", func() string { return "" })
+	cfg.Body, cfg.Jobs = 1024, 1
+	srv := agateops.NewServer(agateops.ServerConfig{
+		Handler: agateops.New(cfg), HeaderWait: 200 * time.Millisecond, BodyWait: 400 * time.Millisecond, Connections: 2,
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go srv.Serve(l)
+	defer srv.Close()
+	status := func(ask string) string {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		defer conn.Close()
+		fmt.Fprint(conn, ask)
+		line, _ := bufio.NewReader(conn).ReadString('\n')
+		return strings.TrimSpace(line)
+	}
+	put := "PUT /v1/config HTTP/1.1\r\nHost: a\r\nAgate-Change: c\r\nIf-Match: 0\r\n"
+	assert.Equal(t, status(put+"Content-Length: 2000\r\n\r\n"+strings.Repeat("#", 2000)), "HTTP/1.1 413 Request Entity Too Large")
+	assert.Equal(t, status("GET /v1/status HTTP/1.1\r\nHost: a\r\nX: "), "")
+	dial := func(ask string) net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		fmt.Fprint(conn, ask)
+		return conn
+	}
+	var slow net.Conn
+	eventually(t, func() bool {
+		slow = dial(put + "Content-Length: 100\r\n\r\n#")
+		for range 20 {
+			if status(put+"Content-Length: 1\r\n\r\n#") == "HTTP/1.1 503 Service Unavailable" {
+				return true
+			}
+		}
+		slow.Close()
+		return false
+	})
+	defer slow.Close()
+	reply, _ := io.ReadAll(slow)
+	assert.Assert(t, len(reply) == 0 || strings.HasPrefix(string(reply), "HTTP/1.1 400"), "%s", reply)
+	eventually(t, func() bool {
+		defer dial("").Close()
+		defer dial("").Close()
+		return status("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n") == ""
+	})
+	eventually(t, func() bool { return status("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n") == "HTTP/1.1 200 OK" })
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); {
+		assert.Assert(t, time.Now().Before(end), "the condition does not hold")
+	}
+}
--- a/io/agatesettings/load.go
+++ b/io/agatesettings/load.go
@@ -206,3 +206,16 @@
 		}
 	}
 }
+
+// Detect returns which kind a file is by the keys that only that kind has:
+// "entry", "control" or, for any other file, "inventory".
+func Detect(data []byte) string {
+	doc := agatestrict.Read("", data)
+	switch {
+	case doc.Line("replicas") > 0:
+		return "entry"
+	case doc.Line("data") > 0 || doc.Line("members") > 0:
+		return "control"
+	}
+	return "inventory"
+}
