agatestate: limits of action records travel through the log

Cause: replicas whose settings differ would refuse and expire different records and so reach different states; a reload of retention on one replica was enough. Conclusion: settings of one replica cannot split the state.

--- a/core/agatestate/codec.go
+++ b/core/agatestate/codec.go
@@ -47,6 +47,7 @@
 		Death     *wireDeath     `cbor:"8,keyasint,omitempty"`
 		Probe     *wireProbe     `cbor:"9,keyasint,omitempty"`
 		Settle    *wireSettle    `cbor:"10,keyasint,omitempty"`
+		Limits    *wireLimits    `cbor:"11,keyasint,omitempty"`
 	}
 	wireConfigure struct {
 		Change   string `cbor:"1,keyasint"`
@@ -113,6 +114,12 @@
 		Token   Token       `cbor:"2,keyasint"`
 		Outcome Outcome     `cbor:"3,keyasint"`
 	}
+	wireLimits struct {
+		Retention time.Duration `cbor:"1,keyasint"`
+		Records   int           `cbor:"2,keyasint"`
+		Bytes     int           `cbor:"3,keyasint"`
+		Answer    int           `cbor:"4,keyasint"`
+	}
 	wireResult struct {
 		Verdict    Verdict       `cbor:"1,keyasint"`
 		Index      uint64        `cbor:"2,keyasint,omitempty"`
@@ -138,6 +145,7 @@
 		Death:     (*wireDeath)(c.Death),
 		Probe:     (*wireProbe)(c.Probe),
 		Settle:    (*wireSettle)(c.Settle),
+		Limits:    (*wireLimits)(c.Limits),
 	}
 	if f := c.Finish; f != nil {
 		w.Finish = &wireFinish{Service: f.Service, Key: f.Key, Token: f.Token, Answer: *toWire(&f.Answer)}
@@ -161,6 +169,7 @@
 		Death:     (*Death)(w.Death),
 		Probe:     (*Probe)(w.Probe),
 		Settle:    (*Settle)(w.Settle),
+		Limits:    (*Limits)(w.Limits),
 	}
 	if f := w.Finish; f != nil {
 		c.Finish = &Finish{Service: f.Service, Key: f.Key, Token: f.Token, Answer: *fromWire(&f.Answer)}
@@ -204,6 +213,7 @@
 	count(c.Death != nil, c.Death.valid)
 	count(c.Probe != nil, c.Probe.valid)
 	count(c.Settle != nil, c.Settle.valid)
+	count(c.Limits != nil, c.Limits.valid)
 	return sets == 1 && good == 1
 }
 
--- a/core/agatestate/command.go
+++ b/core/agatestate/command.go
@@ -39,6 +39,7 @@
 	Death     *Death
 	Probe     *Probe
 	Settle    *Settle
+	Limits    *Limits
 }
 
 // Configure replaces the configuration document if Base is the revision in
--- a/core/agatestate/machine.go
+++ b/core/agatestate/machine.go
@@ -182,8 +182,11 @@
 		return m.death(c.Death)
 	case c.Probe != nil:
 		return m.probe(c.Probe)
-	default:
+	case c.Settle != nil:
 		return m.settle(c.Settle)
+	default:
+		m.setLimits(*c.Limits)
+		return Result{Verdict: Accepted}
 	}
 }
 
--- a/core/agatestate/script_test.go
+++ b/core/agatestate/script_test.go
@@ -106,6 +106,11 @@
 			Print: a.prints()[0], Upstream: a["upstream"], Incarnation: uint64(a.number("incarnation", 1)),
 			Holder: "h", Token: a.token(), Timeout: a.duration("timeout", "2s"),
 		}}
+	case "limits":
+		return agatestate.Command{Limits: &agatestate.Limits{
+			Retention: a.duration("retention", "24h"), Records: a.number("records", 0),
+			Bytes: a.number("bytes", 1<<20), Answer: a.number("answer", 1<<10),
+		}}
 	case "settle":
 		outcomes := map[string]agatestate.Outcome{
 			"survived": agatestate.Survived, "died": agatestate.Died, "not-started": agatestate.NotStarted,
--- a/core/agatestate/snapshot.go
+++ b/core/agatestate/snapshot.go
@@ -39,6 +39,7 @@
 		Records   int        `cbor:"9,keyasint"`
 		Cleared   int        `cbor:"10,keyasint"`
 		Live      int        `cbor:"11,keyasint"`
+		Limits    wireLimits `cbor:"12,keyasint"`
 	}
 	snapConfig struct {
 		Revision uint64 `cbor:"1,keyasint"`
@@ -139,6 +140,7 @@
 		Records:   len(m.actions.records),
 		Cleared:   m.suspects.cleared.Len(),
 		Live:      m.suspects.live.Len(),
+		Limits:    wireLimits(m.limits()),
 	}
 	if cur.Revision > 0 {
 		h.Config = snapConfig{cur.Revision, cur.Document, cur.Change, cur.Operator, cur.At.UnixMilli()}
@@ -192,6 +194,7 @@
 	m.register = n.register
 	m.actions = n.actions
 	m.suspects = n.suspects
+	m.setLimits(n.limits())
 	return nil
 }
 
@@ -262,6 +265,7 @@
 	m.actions.floorHold = h.FloorHold
 	m.suspects.newest = h.Newest
 	m.suspects.dropped = h.Dropped
+	m.setLimits(Limits(h.Limits))
 }
 
 func (m *Machine) addChange(w snapChange) error {
