agateroute: timeouts of living upstreams are no failures; tighter sharing

Cause: one late answer doubled an upstream's cost until its next answer, which never came while others had room; peers' counts in another region were taken as fresh for 60 ms although a service takes 20; four fast refusals by one upstream marked its whole region as failing. Change: a timeout counts only if the upstream answered nothing meanwhile, the penalty is gone (probes bound failing upstreams), counts age by the service time and the way there, a group fails only if half of its upstreams do. A host keeps within 1.5 of its part of a full group, and the limit falls to 1.8 per slot under lasting overload.

--- a/core/agateroute/announce.go
+++ b/core/agateroute/announce.go
@@ -145,7 +145,9 @@
 func (u *upstream) restart(a Announcement) {
 	u.latency = ewma{}
 	u.delay = ewma{}
-	u.failures = 0
+	if u.group != nil {
+		u.clearFailures()
+	}
 	u.eject = ejection{}
 	u.hold = [2]time.Time{}
 	u.drainSince = time.Time{}
--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -15,8 +15,23 @@
 
 	// excess is the number of requests per slot that may be in flight at one
 	// upstream over all entry hosts. Above 1, slots stay busy while answers
-	// travel and one free slot serves whoever comes first.
-	excess = 2.0
+	// travel and one free slot serves whoever comes first. Under lasting
+	// overload it falls to excessLeast: what queues at upstreams then is late
+	// and counts as admitted beyond the capacity.
+	excess      = 2.0
+	excessLeast = 1.8
+
+	// pressureFrom and pressureFull are the shares of requests, refused or
+	// shifted, from which and at which overload counts as lasting.
+	pressureFrom = 0.02
+	pressureFull = 0.1
+
+	// pressureWindow is the number of requests over which they are measured.
+	pressureWindow = 512
+
+	// partSlack is how much a host may exceed its part of the requests in
+	// flight while the total is within the limit.
+	partSlack = 1.5
 
 	// slowFrom is the ratio to the usual latency from which an upstream counts
 	// as slower. Below it, the difference is within the noise of the mean.
@@ -57,7 +72,26 @@
 	if home != nil {
 		home.demand.add(now, 1)
 	}
-	return t.admit(now, s, home, &r)
+	d := t.admit(now, s, home, &r)
+	if home != nil {
+		home.press(d)
+	}
+	return d
+}
+
+// press counts a decision towards lasting overload.
+func (g *group) press(d Decision) {
+	x := 1.0
+	if d.Region == g.region && d.Reason != ReasonGrant {
+		x = 0
+	}
+	g.pressure.add(x, pressureWindow)
+}
+
+// excess is the number of requests per slot that may be in flight now.
+func (g *group) excess() float64 {
+	full := (g.pressure.mean - pressureFrom) / (pressureFull - pressureFrom)
+	return excess - (excess-excessLeast)*min(1, max(0, full))
 }
 
 // home returns the group of a service in a region. It exists also without
@@ -306,9 +340,11 @@
 	return g.failing() && (g.own > 0 || now.Before(g.probeAt))
 }
 
-// failing reports whether no upstream of the group answers.
+// failing reports whether no upstream of the group answers, as far as they
+// were tried: one upstream alone fails fast and often when it refuses
+// connections.
 func (g *group) failing() bool {
-	return g.failures >= groupFailing
+	return g.failures >= groupFailing && 2*g.failed >= len(g.upstreams)
 }
 
 // room reports whether the upstream's slots, its ramp and the share of its
@@ -320,17 +356,27 @@
 	if !u.ramp.warm && float64(u.own)+u.peers >= u.ramp.open {
 		return false
 	}
-	limit := u.slots * excess
-	return n+1 <= limit || (v.below && n+1 <= limit+u.slots)
+	limit := u.slots * v.excess
+	return (n+1 <= limit && !v.above) || (v.below && n+1 <= limit+u.slots)
+}
+
+// part is this host's part of the requests that may be in flight, by what it
+// holds against what all hosts hold.
+func (g *group) part() float64 {
+	own := float64(g.own)*g.present + float64(g.queue.len()) + 1
+	return g.slots * g.excess() * own / (own + g.peers + float64(g.peersWaiting))
 }
 
-// below reports whether this host has less than its part of the requests that
-// may be in flight, by what it holds against what all hosts hold. Without
-// this, a host with a long queue would wait for others with none.
+// below reports whether this host has less than its part. Without this, a
+// host with a long queue would wait for others with none.
 func (g *group) below() bool {
-	own := float64(g.own)*g.present + float64(g.queue.len())
-	all := own + g.peers + float64(g.peersWaiting)
-	return (float64(g.own)*g.present+1)*all <= g.slots*excess*own
+	return float64(g.own)*g.present+1 <= g.part()
+}
+
+// above reports whether this host has more than its part while no slot is
+// idle. Without this, hosts that all see the same old count fill the same gap.
+func (g *group) above() bool {
+	return g.load() >= g.slots && float64(g.own)*g.present+1 > g.part()*partSlack
 }
 
 // cost is the expected time to answer in units of the group's usual latency.
@@ -339,9 +385,6 @@
 	if !u.near {
 		cost += farCost
 	}
-	if u.failures > 0 {
-		cost *= 1 + float64(u.failures)
-	}
 	return cost
 }
 
--- a/core/agateroute/eject.go
+++ b/core/agateroute/eject.go
@@ -68,7 +68,7 @@
 	long := u.eject.next()
 	u.eject.times++
 	u.eject.until = now.Add(long)
-	u.failures = 0
+	u.clearFailures()
 	u.latency = ewma{}
 	u.ramp = ramp{open: 1}
 	t.note(u.event(kind, long))
--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -65,7 +65,7 @@
 	g := u.group
 	g.service.answered = now
 	u.seen = now
-	u.failures = 0
+	u.clearFailures()
 	g.failures = 0
 	seconds := o.Latency.Seconds()
 	// An upstream with more requests than slots makes them queue, so the
@@ -86,9 +86,14 @@
 	t.ejectSlow(now, u)
 }
 
-// failed learns from a failure.
+// failed learns from a failure. A timeout counts only if the upstream has
+// answered nothing since the request was sent: otherwise it is alive, and the
+// request queued for too long or its connection went silent.
 func (t *Table) failed(now time.Time, u *upstream, o Observation) {
-	u.failures++
+	if o.Outcome == TimedOut && u.seen.After(now.Add(-o.Latency)) {
+		return
+	}
+	u.addFailure()
 	u.group.failures++
 	u.probeAt = now.Add(backoff(u.failures - failingFrom))
 	u.group.probeAt = now.Add(backoff(u.group.failures - groupFailing))
--- a/core/agateroute/group.go
+++ b/core/agateroute/group.go
@@ -49,7 +49,9 @@
 	queue        queue
 	away         away
 	demand       rate
+	pressure     ewma      // share of requests that the region could not take
 	failures     int       // in a row, without an answer from any upstream
+	failed       int       // upstreams whose last request failed
 	probeAt      time.Time // when the next request may be sent while failing
 	used         utilisation
 	shift        ramp // overflow that comes in from other regions
@@ -87,6 +89,7 @@
 	g.peers -= u.peers
 	g.slots -= u.counted
 	u.counted = 0
+	u.clearFailures()
 }
 
 // recount keeps the sum of slots after a change of one upstream.
--- a/core/agateroute/peers.go
+++ b/core/agateroute/peers.go
@@ -186,31 +186,35 @@
 	normal  float64 // usual latency in seconds
 	perSlot float64 // peers' requests in flight per slot, over the group
 	fresh   float64 // weight of a peer's count for a single upstream, 0..1
+	excess  float64 // requests per slot that may be in flight
+	above   bool    // this host has more than its part of a full group
 	below   bool    // this host has less than its part of the limit
 	present float64 // part of own requests in flight that are at upstreams
 }
 
 // view prepares the numbers that are the same for all upstreams of a group.
 func (t *Table) view(now time.Time, g *group) view {
-	v := view{normal: g.latency.normal.mean, present: g.present}
+	v := view{normal: g.latency.normal.mean, present: g.present, excess: g.excess()}
 	if g.slots > 0 {
 		v.perSlot = g.peers / g.slots
 	}
 	v.below = g.below()
+	v.above = g.above()
 	v.fresh = t.freshness(now, g)
 	return v
 }
 
-// freshness discounts peers' counts per upstream by their age: within about
-// one answer time the single counts are those of other requests, while the
-// total over the group changes slowly.
+// freshness discounts peers' counts per upstream by their age when a request
+// arrives there: after about one service time the single counts are those of
+// other requests, while the total over the group changes slowly.
 func (t *Table) freshness(now time.Time, g *group) float64 {
-	age := now.Sub(t.peersAt)
 	normal := g.latency.normal.mean
+	age := now.Sub(t.peersAt)
 	if age > peerStale || normal <= 0 {
 		return 0
 	}
-	return math.Exp(-age.Seconds() / normal)
+	service := normal * g.present
+	return math.Exp(-(age.Seconds() + (normal-service)/2) / service)
 }
 
 // inFlight estimates the requests in flight at an upstream over all entry
--- a/core/agateroute/sim_test.go
+++ b/core/agateroute/sim_test.go
@@ -177,7 +177,6 @@
 	lies        bool
 	busyTime    float64 // slot seconds in use since the last sample
 	tallied     time.Duration
-	held        int // sent by entry hosts and not finished
 }
 
 const (
--- a/core/agateroute/simhost_test.go
+++ b/core/agateroute/simhost_test.go
@@ -143,7 +143,6 @@
 	r.attempts = append(r.attempts, a)
 	h.table.Start(h.s.time(), u.id)
 	h.own[u.id]++
-	u.held++
 	delay := hop(h.at, u.at)
 	if idle := h.idle[u.id]; len(idle) > 0 {
 		a.conn = idle[len(idle)-1]
@@ -195,7 +194,6 @@
 		return
 	}
 	a.over = true
-	a.up.held--
 	h.own[a.up.id]--
 	h.release(a, o)
 	seen := Observation{
--- a/core/agateroute/simload_test.go
+++ b/core/agateroute/simload_test.go
@@ -97,7 +97,7 @@
 	slotTime      map[[2]int][]float64
 	busy          map[[2]int][]float64
 	topLoad       float64
-	topHeld       float64 // requests sent per slot
+	topHeld       float64 // requests at upstreams per slot
 	topUsed       float64 // utilisation of a region when it takes overflow
 }
 
@@ -158,7 +158,7 @@
 	for _, u := range s.ups {
 		k := [2]int{u.service, u.at.region}
 		v := sums[k]
-		v.held += u.held
+		v.held += len(u.running) + len(u.waiting)
 		u.tally()
 		v.busy += u.busyTime
 		u.busyTime = 0
@@ -170,7 +170,7 @@
 	o := &s.out
 	for k, v := range sums {
 		work, slots := o.work[k], append(o.slotTime[k], float64(v.slots)*loadBin.Seconds())
-		if n := len(slots); n >= loadWindow && s.now > simWarmup && v.slots > 0 {
+		if n := len(slots); n >= loadWindow && s.now > simWarmup+loadWindow*loadBin && v.slots > 0 {
 			o.topLoad = max(o.topLoad, total(work[n-loadWindow:])/total(slots[n-loadWindow:]))
 			o.topHeld = max(o.topHeld, float64(v.held)/float64(v.slots))
 		}
--- a/core/agateroute/upstream.go
+++ b/core/agateroute/upstream.go
@@ -126,3 +126,19 @@
 func (u *upstream) held(now time.Time, c agateinventory.Class) bool {
 	return now.Before(u.hold[c&1])
 }
+
+// clearFailures forgets failures in a row.
+func (u *upstream) clearFailures() {
+	if u.failures > 0 {
+		u.group.failed--
+	}
+	u.failures = 0
+}
+
+// addFailure counts a failure.
+func (u *upstream) addFailure() {
+	if u.failures == 0 {
+		u.group.failed++
+	}
+	u.failures++
+}
