agateroute: fresh reports of upstreams count a little

An upstream's reported load weighs 0.25 on arrival and nothing after two service times, so requests of unknown origin are seen and a misleading report ends with them.

--- a/core/agateroute/peers.go
+++ b/core/agateroute/peers.go
@@ -10,6 +10,16 @@
 	// peer's work still uses slots, but a dead one must not hold them for good.
 	peerForget = 10 * time.Second
 
+	// reportTrust is the weight of an upstream's report on arrival. It is low,
+	// since reports may mislead, and hosts that follow the same number herd.
+	reportTrust = 0.25
+
+	// reportAge is the age at which a report has no weight, in service times.
+	reportAge = 2.0
+
+	// minService bounds the service time, in seconds.
+	minService = 1e-4
+
 	// peerStale is the age from which a peer's report no longer counts as
 	// fresh evidence of anything but the total.
 	peerStale = time.Second
@@ -183,6 +193,8 @@
 
 // view is what one choice needs to know about peers.
 type view struct {
+	now     time.Time
+	service float64 // usual time at the upstream in seconds
 	normal  float64 // usual latency in seconds
 	perSlot float64 // peers' requests in flight per slot, over the group
 	fresh   float64 // weight of a peer's count for a single upstream, 0..1
@@ -194,7 +206,7 @@
 
 // view prepares the numbers that are the same for all upstreams of a group.
 func (t *Table) view(now time.Time, g *group) view {
-	v := view{normal: g.latency.normal.mean, present: g.present, excess: g.excess()}
+	v := view{now: now, service: max(g.latency.normal.mean*g.present, minService), normal: g.latency.normal.mean, present: g.present, excess: g.excess()}
 	if g.slots > 0 {
 		v.perSlot = g.peers / g.slots
 	}
@@ -225,5 +237,16 @@
 	if !u.ramp.warm {
 		even = u.peers
 	}
-	return float64(u.own)*v.present + even + (u.peers-even)*v.fresh
+	n := float64(u.own)*v.present + even + (u.peers-even)*v.fresh
+	if w := v.trust(u); w > 0 {
+		n = max(float64(u.own)*v.present, n+(u.report*u.slots-n)*w)
+	}
+	return n
+}
+
+// trust is the weight of an upstream's own report: it starts at reportTrust
+// and ends after reportAge service times, when the reported requests are done.
+func (v *view) trust(u *upstream) float64 {
+	age := v.now.Sub(u.heard).Seconds() / v.service
+	return reportTrust * (1 - age/reportAge)
 }
