--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -41,6 +41,10 @@
 	// latency: about 2 ms of 20 ms for the way there and back.
 	farCost = 0.1
 
+	// slowForget is the time without an answer after which a slow upstream is
+	// tried like the others.
+	slowForget = 2 * time.Second
+
 	// firstExpected stands in for the latency before the first answer.
 	firstExpected = 5 * time.Millisecond
 )
@@ -115,7 +119,7 @@
 	hash := xxhash.Sum64String(r.ID)
 	var p pick
 	if home != nil {
-		if home.queue.empty() || home.failing() || r.Pinned != "" {
+		if home.queue.empty() || home.failing() || home.slots == 0 || r.Pinned != "" {
 			p = t.survey(now, home, r, hash)
 		} else {
 			p.busy = len(home.upstreams)
@@ -188,6 +192,8 @@
 	case home == nil:
 	case p.best != nil:
 		d.Reason = ReasonLate
+	case p.busy > 0 && r.Pinned != "":
+		d.Reason = ReasonBusy
 	case p.busy > 0 && home.queue.full():
 		d.Reason = ReasonFull
 		d.RetryAfter = home.retryAfter(now, r)
@@ -353,7 +359,7 @@
 	if u.own >= u.share {
 		return false
 	}
-	if !u.ramp.warm && float64(u.own)+u.peers >= u.ramp.open {
+	if !u.ramp.warm && float64(u.own)+u.peers+1 > u.ramp.open {
 		return false
 	}
 	limit := u.slots * v.excess
@@ -381,23 +387,26 @@
 
 // cost is the expected time to answer in units of the group's usual latency.
 func (u *upstream) cost(n float64, v *view) float64 {
-	cost := u.ratio(v.normal) * (n + 1) / u.slots
+	cost := u.ratio(v) * (n + 1) / u.slots
 	if !u.near {
 		cost += farCost
 	}
 	return cost
 }
 
-// ratio is how much slower than usual the upstream answers, or 1.
-func (u *upstream) ratio(normal float64) float64 {
-	if u.latency.n < ratioEnough || normal <= 0 {
+// ratio is how much slower than usual the upstream answers, or 1. It fades
+// while no answer comes, or an upstream that was slow once would never be
+// tried again.
+func (u *upstream) ratio(v *view) float64 {
+	if u.latency.n < ratioEnough || v.normal <= 0 {
 		return 1
 	}
-	r := u.latency.mean / normal
+	r := u.latency.mean / v.normal
 	if r < slowFrom {
 		return 1
 	}
-	return r
+	idle := v.now.Sub(u.seen).Seconds() / slowForget.Seconds()
+	return 1 + (r-1)*max(0, 1-idle)
 }
 
 const (
--- a/core/agateroute/eject.go
+++ b/core/agateroute/eject.go
@@ -10,7 +10,7 @@
 	ejectSlow = 4.0
 
 	// ejectEnough is the number of answers from which a latency may eject.
-	ejectEnough = upstreamWindow
+	ejectEnough = ratioEnough
 
 	// ejectFirst is the first ejection time, which doubles with each ejection
 	// up to ejectLongest.
--- a/core/agateroute/queue.go
+++ b/core/agateroute/queue.go
@@ -125,7 +125,12 @@
 // retryAfter estimates when a refused request could be taken.
 func (g *group) retryAfter(now time.Time, r *Request) time.Duration {
 	over := g.wait(now, r.Class) + g.reserve() - r.Deadline.Sub(now)
-	return max(over, g.usual())
+	return roundUp(max(over, g.usual()))
+}
+
+// roundUp returns whole milliseconds.
+func roundUp(d time.Duration) time.Duration {
+	return (d + time.Millisecond - 1).Truncate(time.Millisecond)
 }
 
 // Next returns the decision for a waiting request that can be made now: Send
@@ -158,7 +163,7 @@
 	}
 	// What is left must allow for the faster half of the answers.
 	if r, d, ok := g.queue.expire(now, g.latency.p50); ok {
-		d.RetryAfter = g.usual()
+		d.RetryAfter = roundUp(g.usual())
 		return r, d, true
 	}
 	first := g.queue.first()
