--- a/core/agateroute/eject.go
+++ b/core/agateroute/eject.go
@@ -10,7 +10,7 @@
 	ejectSlow = 4.0
 
 	// ejectEnough is the number of answers from which a latency may eject.
-	ejectEnough = upstreamWindow
+	ejectEnough = ratioEnough
 
 	// ejectFirst is the first ejection time, which doubles with each ejection
 	// up to ejectLongest.
@@ -68,7 +68,7 @@
 	long := u.eject.next()
 	u.eject.times++
 	u.eject.until = now.Add(long)
-	u.failures = 0
+	u.clearFailures()
 	u.latency = ewma{}
 	u.ramp = ramp{open: 1}
 	t.note(u.event(kind, long))
