--- a/core/agatequorum/fuzz_test.go
+++ b/core/agatequorum/fuzz_test.go
@@ -11,8 +11,10 @@
 )
 
 func init() {
-	// A fixed seed; the command line may name another one.
+	// A fixed seed and length; the command line may name others.
 	_ = flag.Set("rapid.seed", "20261203")
+	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.steps", "80")
 	_ = flag.Set("rapid.nofailfile", "true")
 }
 
--- a/core/agatequorum/leader.go
+++ b/core/agatequorum/leader.go
@@ -85,6 +85,9 @@
 
 func (c *Core) tickLeader() {
 	c.tickTransfer()
+	if c.output.full {
+		c.relieve()
+	}
 	if c.now >= c.lead.heartbeat {
 		c.broadcastHeartbeat()
 	}
--- /dev/null
+++ b/core/agatequorum/script_test.go
@@ -0,0 +1,231 @@
+package agatequorum_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agategate/core/agatequorum"
+)
+
+// Guards against the faults that the scenarios in testdata describe.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			assert.NilError(t, err)
+			sc := script{t: t, s: newSim(t, 7)}
+			sc.s.chunk, sc.s.inflight = 4096, 64
+			for i, line := range strings.Split(string(data), "\n") {
+				words := strings.Fields(strings.Split(line, "#")[0])
+				if len(words) == 0 {
+					continue
+				}
+				if problem := sc.run(words); problem != "" {
+					t.Fatalf("%s:%d: %s: %s", file, i+1, line, problem)
+				}
+			}
+		})
+	}
+}
+
+// script runs one command a line against a simulated group. testdata/README
+// lists the commands.
+type script struct {
+	t *testing.T
+	s *sim
+	// marks holds the terms at the last mark.
+	marks map[uint64]uint64
+}
+
+func (sc *script) number(word string) uint64 {
+	n, err := strconv.ParseUint(word, 10, 64)
+	assert.NilError(sc.t, err)
+	return n
+}
+
+func (sc *script) numbers(words []string) []uint64 {
+	var ids []uint64
+	for _, w := range words {
+		ids = append(ids, sc.number(w))
+	}
+	return ids
+}
+
+func (sc *script) duration(word string) time.Duration {
+	d, err := time.ParseDuration(word)
+	assert.NilError(sc.t, err)
+	return d
+}
+
+// run returns what is wrong, or nothing.
+func (sc *script) run(words []string) string {
+	s := sc.s
+	name, args := words[0], words[1:]
+	node := func() *simNode { return s.nodes[sc.number(args[0])] }
+	switch name {
+	case "replicas":
+		s.group(sc.number(args[0]))
+	case "every":
+		s.every = sc.number(args[0])
+		s.keep = int(s.every) / 2
+	case "fsync":
+		s.fsync = sc.duration(args[0])
+	case "far":
+		s.delays[sc.number(args[0])] = sc.duration(args[1])
+	case "rate":
+		rate, err := strconv.ParseFloat(args[1], 64)
+		assert.NilError(sc.t, err)
+		node().rate = rate
+	case "advance":
+		s.advance(sc.duration(args[0]))
+	case "cut":
+		s.partition(sc.numbers(args)...)
+	case "block":
+		s.blocked[[2]uint64{sc.number(args[0]), sc.number(args[1])}] = true
+	case "heal":
+		s.heal()
+	case "crash":
+		node().crash()
+	case "lose":
+		node().lose()
+	case "restart":
+		node().start()
+	case "freeze":
+		node().freeze(sc.duration(args[1]))
+	case "resume":
+		s.now = node().wake
+	case "full":
+		node().full = !node().full
+	case "add":
+		s.add(sc.number(args[0]), nil)
+	case "learner", "promote", "remove":
+		return sc.change(name, sc.number(args[0]), args[1])
+	case "lead":
+		return sc.lead(node())
+	case "elected":
+		return sc.elected(sc.numbers(args))
+	case "propose":
+		return sc.propose(node(), int(sc.number(args[1])), args[2])
+	case "read":
+		return sc.read(node(), args[1])
+	case "answered":
+		got := fmt.Sprintf("confirmed %d lost %d", node().confirmed, node().lostReads)
+		return differ(got, strings.Join(args[1:], " "))
+	case "role":
+		return differ(node().core.Status().Role.String(), args[1])
+	case "mark":
+		sc.marks = map[uint64]uint64{}
+		for id, n := range s.nodes {
+			sc.marks[id] = n.core.Status().Term
+		}
+	case "calm":
+		for _, id := range sc.numbers(args) {
+			if term := s.nodes[id].core.Status().Term; term != sc.marks[id] {
+				return fmt.Sprintf("term %d of replica %d became %d", sc.marks[id], id, term)
+			}
+		}
+	case "acked":
+		return differ(strconv.Itoa(node().acked), args[1])
+	case "same":
+		return sc.same(sc.numbers(args))
+	case "settle":
+		s.settle()
+	default:
+		return "no such command"
+	}
+	return ""
+}
+
+func differ(got, want string) string {
+	want = strings.ReplaceAll(want, "-", " ")
+	if strings.ReplaceAll(got, "-", " ") == want {
+		return ""
+	}
+	return fmt.Sprintf("got %q, want %q", got, want)
+}
+
+func (sc *script) change(name string, id uint64, want string) string {
+	l := sc.s.leader()
+	if l == nil {
+		return "no leader"
+	}
+	kind := map[string]agatequorum.ChangeKind{
+		"learner": agatequorum.AddLearner, "promote": agatequorum.Promote, "remove": agatequorum.Remove,
+	}[name]
+	return differ(l.change(kind, id).String(), want)
+}
+
+// lead makes n the leader.
+func (sc *script) lead(n *simNode) string {
+	ok := sc.s.runUntil(sc.s.now+20*time.Second, func() bool {
+		l := sc.s.leader()
+		if l != nil && l != n {
+			l.core.Transfer(l.clock(), n.id)
+			l.act()
+		}
+		return l == n && l.core.Status().Commit == l.core.Status().Last
+	})
+	if !ok {
+		return "not elected"
+	}
+	return ""
+}
+
+// elected waits until one of ids leads.
+func (sc *script) elected(ids []uint64) string {
+	ok := sc.s.runUntil(sc.s.now+10*time.Second, func() bool {
+		for _, id := range ids {
+			n := sc.s.nodes[id]
+			if n.up && n.core.Status().Role == agatequorum.Leader && n.core.Status().Commit == n.core.Status().Last {
+				return true
+			}
+		}
+		return false
+	})
+	if !ok {
+		return "none elected within 10 s"
+	}
+	return ""
+}
+
+func (sc *script) propose(n *simNode, count int, want string) string {
+	for range count {
+		if problem := differ(n.propose().String(), want); problem != "" {
+			return problem
+		}
+		sc.s.advance(100 * time.Microsecond)
+	}
+	return ""
+}
+
+func (sc *script) read(n *simNode, want string) string {
+	before := n.confirmed
+	got := "waits"
+	if o := n.read(); o != agatequorum.Accepted {
+		got = o.String()
+	} else if n.confirmed > before {
+		got = "answered"
+	}
+	return differ(got, want)
+}
+
+func (sc *script) same(ids []uint64) string {
+	first := sc.s.nodes[ids[0]]
+	for _, id := range ids[1:] {
+		n := sc.s.nodes[id]
+		if n.applied != first.applied || n.chain != first.chain {
+			return fmt.Sprintf("replica %d has applied %d, replica %d %d", first.id, first.applied, id, n.applied)
+		}
+	}
+	return ""
+}
--- a/core/agatequorum/sim_test.go
+++ b/core/agatequorum/sim_test.go
@@ -42,6 +42,7 @@
 	fsync     time.Duration
 	keep      int
 	chunk     int
+	inflight  int
 	every     uint64
 	oracle    oracle
 }
@@ -102,7 +103,7 @@
 	return &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[uint64]*simNode{},
 		blocked: map[[2]uint64]bool{}, delays: map[uint64]time.Duration{},
-		delay: time.Millisecond, fsync: time.Millisecond, keep: 4, chunk: 64, every: simEvery,
+		delay: time.Millisecond, fsync: time.Millisecond, keep: 4, chunk: 64, inflight: 4, every: simEvery,
 		oracle: oracle{
 			t: t, leaders: map[uint64]uint64{}, durable: map[position]map[uint64]bool{},
 			chain: map[uint64]uint64{0: 0}, terms: map[uint64]uint64{},
@@ -216,7 +217,7 @@
 	saved := n.disk
 	saved.Entries = slices.Clone(saved.Entries)
 	n.core = agatequorum.New(agatequorum.Config{
-		ID: n.id, Bootstrap: n.bootstrap, Rand: n.s.rng.Uint64, MaxBytes: n.s.chunk, MaxInflight: 4, Keep: n.s.keep,
+		ID: n.id, Bootstrap: n.bootstrap, Rand: n.s.rng.Uint64, MaxBytes: n.s.chunk, MaxInflight: n.s.inflight, Keep: n.s.keep,
 	}, saved)
 	epoch := n.epoch
 	var tick func()
--- a/core/agatequorum/transfer.go
+++ b/core/agatequorum/transfer.go
@@ -51,6 +51,22 @@
 	return best
 }
 
+// relieve hands over the lead of a leader that cannot write, if a majority of
+// the voters can. Otherwise nobody could be elected, and the leader stays to
+// answer reads.
+func (c *Core) relieve() {
+	able := majority(c.members.latest().members, func(id uint64) uint64 {
+		p := c.peer(id)
+		if p == nil || p.full || c.now-p.heard > c.cfg.ElectionMin {
+			return 0
+		}
+		return 1
+	})
+	if able == 1 {
+		c.Transfer(c.now, 0)
+	}
+}
+
 func (c *Core) tickTransfer() {
 	t := &c.lead.transfer
 	if t.to == 0 {
