agateroute: retries of attempts that never started are outside the budget

Cause: with separate processes and four callers, two reads were refused for lack of budget when an upstream died: at low traffic 10% of the requests are fewer than the requests in flight at one upstream. Ruled out: a fixed floor of retries, because it would multiply an overload by the number of services. Change: a refused connection or an unwritten request may be tried elsewhere without budget, since no upstream did work for it; all other second attempts stay within 10%. Conclusion: the budget guards against repeated work, not against repeated connection attempts.

--- a/core/agateroute/fuzz_test.go
+++ b/core/agateroute/fuzz_test.go
@@ -197,8 +197,10 @@
 	if r.Class == agateinventory.Action && seen.Started() {
 		o.t.Fatalf("action sent again after %v", seen.Outcome)
 	}
-	o.seconds = append(o.seconds, o.now)
-	o.checkBudget()
+	if seen.Outcome != Unstarted {
+		o.seconds = append(o.seconds, o.now)
+		o.checkBudget()
+	}
 	o.follow(r, d)
 }
 
--- a/core/agateroute/retry.go
+++ b/core/agateroute/retry.go
@@ -73,13 +73,29 @@
 	case r.Class != agateinventory.Read && o.Started():
 		return Decision{Reason: ReasonStarted}
 	}
-	return t.second(now, &r, ReasonRetry, true)
+	return t.second(now, &r, retryRule(o))
+}
+
+// secondRule is what differs between second attempts.
+type secondRule struct {
+	why     Reason
+	mayWait bool
+	// free attempts are outside the budget.
+	free bool
+}
+
+// retryRule is the rule for a retry. An attempt that never started cost its
+// upstream nothing, so another one cannot multiply an overload. Counting it
+// would refuse callers of a dead upstream whenever traffic is low.
+func retryRule(o Observation) secondRule {
+	return secondRule{why: ReasonRetry, mayWait: true, free: o.Outcome == Unstarted}
 }
 
 // Hedge decides whether a read that has been at an upstream for some time
 // gets a second attempt elsewhere. It does so past the 95th percentile of the
-// answer times, and only into slots that would stay idle. The verdict is Send or Refuse. The caller has added the first
-// upstream to r.Tried, and cancels the attempt that Loser names.
+// answer times, and only into slots that would stay idle. The verdict is Send
+// or Refuse. The caller has added the first upstream to r.Tried, and cancels
+// the attempt that Loser names.
 func (t *Table) Hedge(now time.Time, r Request, waited time.Duration) Decision {
 	at := t.HedgeAfter(r.Service, r.Region)
 	if r.Class != agateinventory.Read || at == 0 || waited < at {
@@ -88,7 +104,7 @@
 	if g := t.services[r.Service].groups[t.regionOf(&r)]; g.load()+1 > t.target()*g.slots {
 		return Decision{Reason: ReasonBusy}
 	}
-	return t.second(now, &r, ReasonHedge, false)
+	return t.second(now, &r, secondRule{why: ReasonHedge})
 }
 
 // regionOf returns the home region of a request.
@@ -120,7 +136,7 @@
 }
 
 // second decides about a second attempt within the budget.
-func (t *Table) second(now time.Time, r *Request, why Reason, mayWait bool) Decision {
+func (t *Table) second(now time.Time, r *Request, rule secondRule) Decision {
 	s := t.services[r.Service]
 	if s == nil {
 		return Decision{Reason: ReasonUnknown, RetryAfter: t.cfg.Interval}
@@ -129,28 +145,28 @@
 	if !now.Before(r.Deadline) {
 		return Decision{Reason: ReasonLate}
 	}
-	if !s.budget.allows(now) {
+	if !rule.free && !s.budget.allows(now) {
 		return Decision{Reason: ReasonBudget, RetryAfter: t.cfg.Interval}
 	}
-	d := t.secondChoice(now, s, r, why, mayWait)
-	if d.Verdict != Refuse {
+	d := t.secondChoice(now, s, r, rule)
+	if d.Verdict != Refuse && !rule.free {
 		s.budget.take()
 	}
 	return d
 }
 
 // secondChoice picks the upstream of a second attempt.
-func (t *Table) secondChoice(now time.Time, s *service, r *Request, why Reason, mayWait bool) Decision {
+func (t *Table) secondChoice(now time.Time, s *service, r *Request, rule secondRule) Decision {
 	home := s.groups[r.Region]
 	hash := xxhash.Sum64String(r.ID)
 	var p pick
 	if home != nil && r.Pinned == "" {
 		p = t.survey(now, home, r, hash)
-		if d, ok := t.send(now, home, r, p, why); ok {
+		if d, ok := t.send(now, home, r, p, rule.why); ok {
 			return d
 		}
 	}
-	if !mayWait {
+	if !rule.mayWait {
 		return t.refuse(now, home, r, p)
 	}
 	if home != nil {
