agateroute: a ramp opens one slot per answer and ends at the slots

Cause: each entry host opened a ramp up to the limit of all of them, so a restarted upstream stayed half used while the others were full. Change: the ramp ends at the upstream's slots, one per answer in time; up to 2.5 requests per slot may be in flight without lasting overload.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -18,7 +18,7 @@
 	// travel and one free slot serves whoever comes first. Under lasting
 	// overload it falls to excessLeast: what queues at upstreams then is late
 	// and counts as admitted beyond the capacity.
-	excess      = 2.0
+	excess      = 2.5
 	excessLeast = 1.8
 
 	// pressureFrom and pressureFull are the shares of requests, refused or
--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -79,7 +79,7 @@
 		g.latency.record(now, o.Latency)
 	}
 	t.measurePresent(g, o)
-	u.ramp.answered(intime, u.slots*excess)
+	u.ramp.answered(intime, u.slots)
 	if o.Home != "" && o.Home != g.region {
 		g.shift.answered(intime, g.slots)
 	}
--- a/core/agateroute/policy_test.go
+++ b/core/agateroute/policy_test.go
@@ -181,6 +181,7 @@
 	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(100*o.share(), "%intime")
+	b.ReportMetric(100*(1-o.share()), "%lost")
 	b.ReportMetric(ms(o.quantile(0.5)), "p50ms")
 	b.ReportMetric(ms(o.quantile(0.99)), "p99ms")
 	b.ReportMetric(o.topLoad, "load")
--- a/core/agateroute/ramp.go
+++ b/core/agateroute/ramp.go
@@ -12,7 +12,7 @@
 	rampSlow = 2.0
 
 	// rampStep is what an answer in time opens, in slots.
-	rampStep = 0.5
+	rampStep = 1.0
 
 	// rampLate is what a slow answer opens. It is not zero, or a service whose
 	// answers became slower for good would never open.
