--- a/core/agateinventory/checkservice.go
+++ b/core/agateinventory/checkservice.go
@@ -33,9 +33,17 @@
 	}
 }
 
+// maxOperations bounds each list of a service. Every operation is compared
+// with every other one, so a list of 300,000 took minutes.
+const maxOperations = 256
+
 // checkOperations refuses operations that can never be matched. Actions are
 // matched before reads.
 func checkOperations(s *serviceTable) {
+	if len(s.Reads) > maxOperations || len(s.Actions) > maxOperations {
+		s.At.Refuse("", "a service may have at most %d reads and %d actions", maxOperations, maxOperations)
+		return
+	}
 	for i, o := range s.Actions {
 		if j := covered(s.Actions[:i], o); j >= 0 {
 			s.At.RefuseItem("actions", i, "%q is already covered by %q", o, s.Actions[j])
--- a/core/agateinventory/parse_test.go
+++ b/core/agateinventory/parse_test.go
@@ -87,6 +87,20 @@
 	assert.Assert(t, time.Since(start) < 10*time.Second)
 }
 
+// Long lists of operations must be refused: each is compared with all others.
+func TestParseManyOperations(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("region = [{ name = \"centro\", domains = [\"a\"] }]\n[[service]]\nname = \"s\"\nregions = [\"centro\"]\nreads = [")
+	for i := range 250_000 {
+		fmt.Fprintf(&b, "\"GET /%d\",", i)
+	}
+	b.WriteString("]\n")
+	start := time.Now()
+	_, problems := agateinventory.Parse("f", []byte(b.String()))
+	assert.Equal(t, len(problems), 1)
+	assert.Assert(t, time.Since(start) < 10*time.Second)
+}
+
 // A drain must be added and removed without loss of the operator's comments.
 func TestDrainKeepsText(t *testing.T) {
 	doc := read(t, "testdata/good/full.toml")
--- a/internal/agatestrict/problem.go
+++ b/internal/agatestrict/problem.go
@@ -24,8 +24,11 @@
 	"strings"
 )
 
-// maxProblems bounds the problems that one document may report.
-const maxProblems = 1000
+// Bounds of the problems that one document may report.
+const (
+	maxProblems = 1000
+	maxText     = 400 // bytes of a key or text
+)
 
 // Problem is one reason why a document is refused.
 type Problem struct {
--- a/internal/agatestrict/read.go
+++ b/internal/agatestrict/read.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sort"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 )
@@ -67,7 +68,15 @@
 		d.dropped++
 		return
 	}
-	d.problems = append(d.problems, Problem{File: d.file, Line: line, Key: key, Text: text})
+	d.problems = append(d.problems, Problem{File: d.file, Line: line, Key: cut(key), Text: cut(text)})
+}
+
+// cut shortens a text that quotes a long part of the document.
+func cut(s string) string {
+	if len(s) <= maxText {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxText], "") + "..."
 }
 
 func (d *Document) lineAt(offset int) int {
--- a/internal/agatestrict/read_test.go
+++ b/internal/agatestrict/read_test.go
@@ -136,6 +136,16 @@
 	assert.Equal(t, len(agatestrict.Read("f.toml", []byte(brackets)).Problems()), 0)
 }
 
+// A problem must not repeat a long part of the document.
+func TestProblemsAreShort(t *testing.T) {
+	doc := agatestrict.Read("f.toml", []byte("name = 'n'\ncount = "+strings.Repeat("9", 1<<20)+"\n"+strings.Repeat("é", 1<<20)+" = 1"))
+	var s sample
+	doc.Decode(&s)
+	for _, p := range doc.Problems() {
+		assert.Assert(t, len(p.String()) < 1000, "%d", len(p.String()))
+	}
+}
+
 // Problems must stay bounded, and their number must not be hidden.
 func TestProblemsAreBounded(t *testing.T) {
 	doc := agatestrict.Read("f.toml", []byte("name='n'\n"+strings.Repeat("[[item]]\n", 2000)))
