--- a/io/agatecli/cli_test.go
+++ b/io/agatecli/cli_test.go
@@ -190,5 +190,5 @@
 	}, []string{"entry", "--settings", file})
 	assert.Equal(t, code, agatecli.ExitOK)
 	assert.Assert(t, strings.Contains(stderr.String(), "settings stay as they are"))
-	assert.Assert(t, strings.Contains(stderr.String(), "in force [log.level], after a restart [name]"))
+	assert.Assert(t, strings.Contains(stderr.String(), "settings read again: applied=log.level restart=name"))
 }
--- a/io/agatecli/process.go
+++ b/io/agatecli/process.go
@@ -7,9 +7,12 @@
 	"flag"
 	"fmt"
 	"runtime/debug"
+	"strings"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"agategate/io/agatelog"
 	"agategate/io/agatesettings"
 )
 
@@ -50,9 +53,13 @@
 	if len(problems) > 0 {
 		return a.refuse(problems)
 	}
+	log, insecure := a.logger(s)
+	if insecure {
+		log.Warn("connections are in plain text", "insecure", true)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go reloads(ctx, a, src, s, reload)
+	go reloads(ctx, a, log, src, s, reload)
 	return run(ctx, s)
 }
 
@@ -63,9 +70,22 @@
 	return nil
 }
 
+// logger returns the log of a process for lines about its settings, and
+// whether they ask for plain text.
+func (a *app) logger(settings any) (log hclog.Logger, insecure bool) {
+	cfg := agatelog.Config{Output: a.cfg.Stderr}
+	switch s := settings.(type) {
+	case agatesettings.Entry:
+		cfg.Name, cfg.Level, cfg.JSON, insecure = s.Name, s.Log.Level, s.Log.Format == "json", s.TLS.Insecure
+	case agatesettings.Control:
+		cfg.Name, cfg.Level, cfg.JSON, insecure = s.Name, s.Log.Level, s.Log.Format == "json", s.TLS.Insecure
+	}
+	return agatelog.New(cfg).Logger(), insecure
+}
+
 // reloads reads the settings again whenever it is asked to. Settings with a
 // problem leave the running ones in force.
-func reloads[T agatesettings.Settings](ctx context.Context, a *app, src agatesettings.Source, s T, reload func(T)) {
+func reloads[T agatesettings.Settings](ctx context.Context, a *app, log hclog.Logger, src agatesettings.Source, s T, reload func(T)) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -74,11 +94,11 @@
 		}
 		updated, problems := agatesettings.Load[T](src)
 		if len(problems) > 0 {
-			fmt.Fprintf(a.cfg.Stderr, "agategate: settings stay as they are:\n%v\n", problems)
+			log.Warn("settings stay as they are", "problems", problems.Error())
 			continue
 		}
 		applied, restart := agatesettings.Reload(s, updated)
-		fmt.Fprintf(a.cfg.Stderr, "agategate: settings read again: in force %v, after a restart %v\n", applied, restart)
+		log.Info("settings read again", "applied", strings.Join(applied, " "), "restart", strings.Join(restart, " "))
 		s = agatesettings.Merge(s, updated)
 		if reload != nil {
 			reload(s)
