--- /dev/null
+++ b/core/agateshift/grants_test.go
@@ -0,0 +1,196 @@
+package agateshift
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agategate/core/agateinventory"
+)
+
+// TestMain fixes the seed; the command line can set another one.
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.steps", "60")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// script runs the commands of a data file.
+type script struct {
+	t       *testing.T
+	at      string
+	now     time.Time
+	inv     *agateinventory.Inventory
+	granter *Granter
+	holders map[string]*Holder
+	epoch   uint64
+	// keep and wants are renewed each 250 ms by settle.
+	keep  [][]string
+	wants [][]string
+}
+
+func TestGrants(t *testing.T) {
+	data, err := os.ReadFile("testdata/grants.txt")
+	assert.NilError(t, err)
+	s := &script{t: t}
+	for i, line := range strings.Split(string(data), "\n") {
+		s.at = fmt.Sprintf("testdata/grants.txt:%d: %s", i+1, line)
+		if f := strings.Fields(line); len(f) > 0 && f[0] != "#" {
+			s.run(f)
+		}
+	}
+}
+
+func (s *script) run(f []string) {
+	switch f[0] {
+	case "new":
+		s.reset()
+	case "at":
+		d, err := time.ParseDuration(f[1])
+		assert.NilError(s.t, err, s.at)
+		s.now = start.Add(d)
+	case "shift", "shift2":
+		s.inv.Shifts = append(s.inv.Shifts, agateinventory.Shift{
+			Service: f[0], From: f[1], To: f[2], Requests: s.num(f[3]), Bytes: s.num(f[4]), Allow: f[5] == "yes",
+		})
+		s.granter.Configure(s.now, s.inv)
+	case "link":
+		s.inv.Links = []agateinventory.Link{{From: f[1], To: f[2], Bytes: s.num(f[3])}}
+		s.granter.Configure(s.now, s.inv)
+	case "drain":
+		s.inv.Drains = []agateinventory.Drain{{Kind: agateinventory.DrainRegion, Name: f[1], Share: s.num(f[2])}}
+		s.granter.Configure(s.now, s.inv)
+	case "report":
+		s.report(f)
+	case "keep":
+		s.keep = append(s.keep, f)
+		s.report(f)
+	case "want", "want2":
+		s.wants = append(s.wants, f)
+	case "settle":
+		s.settle()
+	case "ask", "ask2":
+		s.ask(f)
+	case "grants":
+		s.countGrants(f)
+	case "hold":
+		for _, k := range s.keep {
+			s.report(k)
+		}
+		h := s.holder(f[1])
+		h.Accept(s.now, s.granter.Grant(s.now, h.Ask(s.now, "shift", f[2], f[3], s.num(f[4]), s.num(f[5]))))
+	case "restart":
+		delete(s.holders, f[1])
+	case "take":
+		s.take(f)
+	default:
+		s.t.Fatal(s.at)
+	}
+}
+
+func (s *script) reset() {
+	s.now = start
+	s.inv = &agateinventory.Inventory{}
+	for _, name := range []string{"a1", "a2", "a3", "b1", "c1", "c2"} {
+		s.inv.Hosts = append(s.inv.Hosts, agateinventory.Host{Name: name, Region: name[:1]})
+	}
+	s.granter = NewGranter(Config{Now: start, Term: 1})
+	s.holders = map[string]*Holder{}
+	s.keep, s.wants = nil, nil
+}
+
+func (s *script) num(x string) float64 {
+	v, err := strconv.ParseFloat(x, 64)
+	assert.NilError(s.t, err, s.at)
+	return v
+}
+
+func (s *script) holder(name string) *Holder {
+	if s.holders[name] == nil {
+		s.epoch++
+		s.holders[name] = NewHolder(HolderConfig{Host: name, Epoch: s.epoch})
+	}
+	return s.holders[name]
+}
+
+func (s *script) report(f []string) {
+	var age time.Duration
+	if len(f) > 5 {
+		age, _ = time.ParseDuration(f[5])
+	}
+	s.granter.Report(s.now, f[1], []Demand{
+		{"shift", f[2], s.num(f[3]), s.num(f[4]), age},
+		{"shift2", f[2], s.num(f[3]), s.num(f[4]), age},
+	})
+}
+
+func (s *script) grant(f []string) Grant {
+	service := "shift" + strings.TrimLeft(f[0], "askwnt")
+	a := s.holder(f[1]).Ask(s.now, service, f[2], f[3], s.num(f[4]), s.num(f[5]))
+	return s.granter.Grant(s.now, a)
+}
+
+// settle renews reports and asks for 20 s.
+func (s *script) settle() {
+	for range 80 {
+		s.now = s.now.Add(250 * time.Millisecond)
+		for _, f := range s.keep {
+			s.report(f)
+		}
+		if len(s.keep) == 0 {
+			for _, r := range s.granter.dests {
+				for _, m := range r.reports {
+					m.at = s.now
+				}
+			}
+		}
+		for _, f := range s.wants {
+			s.grant(f)
+		}
+	}
+}
+
+func (s *script) ask(f []string) {
+	g := s.grant(f)
+	s.near(g.Requests, f[7])
+	if f[8] != "-" {
+		s.near(g.Bytes, f[8])
+	}
+	assert.Equal(s.t, g.Reason, f[9], s.at)
+}
+
+func (s *script) near(got float64, want string) {
+	if math.Abs(got-s.num(want)) > 0.001*got+0.06 {
+		s.t.Errorf("%s: got %f", s.at, got)
+	}
+}
+
+func (s *script) countGrants(f []string) {
+	n := 0
+	for _, w := range s.wants {
+		if s.grant(w).Requests > 0 {
+			n++
+		}
+	}
+	assert.Equal(s.t, strconv.Itoa(n), f[1], s.at)
+}
+
+func (s *script) take(f []string) {
+	n := 0
+	for range int(s.num(f[5])) {
+		if s.holder(f[1]).Take(s.now, "shift", f[2], f[3], int64(s.num(f[4]))) {
+			n++
+		}
+	}
+	assert.Equal(s.t, strconv.Itoa(n), f[7], s.at)
+}
