--- /dev/null
+++ b/core/agateinventory/capacity_test.go
@@ -0,0 +1,51 @@
+package agateinventory_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"agategate/core/agateinventory"
+)
+
+// sized returns an inventory with so many client blocks and one region for
+// each 7,500 of them, the ratio of 330,000 blocks to 44 regions.
+func sized(blocks int) *agateinventory.Inventory {
+	inv := &agateinventory.Inventory{Target: 0.8, Eject: 0.3}
+	regions := max(1, blocks/7500)
+	for i := range regions {
+		name := fmt.Sprintf("region-%d", i)
+		inv.Regions = append(inv.Regions, agateinventory.Region{Name: name, Domains: []string{name + "-a", name + "-b"}})
+	}
+	inv.Services = []agateinventory.Service{{
+		Name:     "quotes",
+		Deadline: agateinventory.DefaultDeadline,
+		Regions:  []string{"region-0"},
+		Reads:    []agateinventory.Operation{{Method: "GET", Path: "/quotes/*"}},
+	}}
+	for i := range blocks {
+		addr := netip.AddrFrom4([4]byte{10 + byte(i>>16), byte(i >> 8), byte(i), 0})
+		inv.Blocks = append(inv.Blocks, agateinventory.Block{
+			Prefix: netip.PrefixFrom(addr, 24),
+			Region: inv.Regions[i%regions].Name,
+		})
+	}
+	return inv
+}
+
+// BenchmarkParse gives the time and size of a document against its number of
+// client blocks, for docs/CAPACITY.md.
+func BenchmarkParse(b *testing.B) {
+	for _, blocks := range []int{600, 6000, 60000} {
+		document := agateinventory.Format(sized(blocks))
+		b.Run(fmt.Sprint(blocks), func(b *testing.B) {
+			b.ReportAllocs()
+			b.ReportMetric(float64(len(document)), "document-bytes")
+			for b.Loop() {
+				if _, problems := agateinventory.Parse("bench", document); len(problems) > 0 {
+					b.Fatal(problems[0])
+				}
+			}
+		})
+	}
+}
--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -350,7 +350,7 @@
 // were tried: one upstream alone fails fast and often when it refuses
 // connections.
 func (g *group) failing() bool {
-	return g.failures >= groupFailing && 2*g.failed >= len(g.upstreams)
+	return g.failures >= groupFailing && 4*g.failed >= 3*len(g.upstreams)
 }
 
 // room reports whether the upstream's slots, its ramp and the share of its
--- a/core/agateroute/request.go
+++ b/core/agateroute/request.go
@@ -121,6 +121,8 @@
 	RetryAfter time.Duration
 	// Alone repeats Request.Alone.
 	Alone bool
+	// Died says that the upstream's process ended during the attempt.
+	Died bool
 }
 
 // Started reports whether the request may have been executed.
--- a/core/agateroute/retry.go
+++ b/core/agateroute/retry.go
@@ -85,10 +85,12 @@
 }
 
 // retryRule is the rule for a retry. An attempt that never started cost its
-// upstream nothing, so another one cannot multiply an overload. Counting it
-// would refuse callers of a dead upstream whenever traffic is low.
+// upstream nothing, and the death of an upstream is followed by at most as
+// many retries as requests were in flight there, so neither can multiply an
+// overload. Counting them would refuse callers of a dead upstream whenever
+// traffic is low.
 func retryRule(o Observation) secondRule {
-	return secondRule{why: ReasonRetry, mayWait: true, free: o.Outcome == Unstarted}
+	return secondRule{why: ReasonRetry, mayWait: true, free: o.Outcome == Unstarted || o.Died}
 }
 
 // Hedge decides whether a read that has been at an upstream for some time
--- a/io/agateclient/client.go
+++ b/io/agateclient/client.go
@@ -44,6 +44,9 @@
 	CodeRefused   = 3
 )
 
+// LeaderUnknown is what a replica names as leader when it knows none.
+const LeaderUnknown = "?"
+
 // ErrUnavailable says that no replica answered as leader in time.
 var ErrUnavailable = errors.New("agateclient: no control replica answered as leader")
 
--- /dev/null
+++ b/io/agatecontrol/capacity_test.go
@@ -0,0 +1,115 @@
+package agatecontrol
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"agategate/io/agateclient"
+	"agategate/io/agatesettings"
+	"agategate/io/agatewire"
+)
+
+// single starts a group of one replica.
+func single(b *testing.B) *Control {
+	b.Helper()
+	peer := netip.MustParseAddrPort("127.97.0.1:9000")
+	settings, problems := agatesettings.Load[agatesettings.Control](agatesettings.Source{Flags: map[string]string{
+		"name":         "control-1",
+		"region":       "centro",
+		"domain":       "centro-a",
+		"data":         b.TempDir(),
+		"peer":         peer.String(),
+		"admin":        "127.97.0.1:9001",
+		"members":      "control-1=" + peer.String(),
+		"tls.insecure": "true",
+	}})
+	assert.Equal(b, len(problems), 0)
+	c, err := Start(Config{Settings: settings})
+	assert.NilError(b, err)
+	b.Cleanup(c.Kill)
+	for !c.leads() {
+		time.Sleep(time.Millisecond)
+	}
+	return c
+}
+
+// heartbeat is one of n hosts with three services in three regions.
+func heartbeat(n int) *agatewire.BeatAsk {
+	ask := &agatewire.BeatAsk{
+		Sender: &agatewire.Sender{Host: fmt.Sprintf("entry-%d", n), Epoch: 1, Revision: 7},
+		Region: "centro",
+		Domain: "centro-a",
+		Caller: "127.0.0.1:8080",
+		Peer:   "127.0.0.1:9000",
+	}
+	for _, service := range []string{"quotes", "labels", "zones"} {
+		for _, region := range []string{"centro", "occidente", "oriente"} {
+			ask.Usage = append(ask.Usage, &agatewire.Usage{Service: service, Region: region, Capacity: 600, Demand: 40, Inflight: 1})
+		}
+	}
+	return ask
+}
+
+// BenchmarkBeat gives the leader's work for one heartbeat and the bytes of a
+// heartbeat and its reply against the number of entry hosts, for
+// docs/CAPACITY.md. In each interval one host of a thousand changes its load.
+func BenchmarkBeat(b *testing.B) {
+	for _, hosts := range []int{10, 470, 4700} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			s := &controlService{c: single(b)}
+			asks := make([]*agatewire.BeatAsk, hosts)
+			for i := range asks {
+				asks[i] = heartbeat(i)
+			}
+			var sent, received, n int
+			beat := func(ask *agatewire.BeatAsk) {
+				reply, err := s.Beat(context.Background(), ask)
+				if err != nil || reply.Leader != "" {
+					b.Fatalf("heartbeat failed: %v, leader %q", err, reply.GetLeader())
+				}
+				ask.View, ask.Version = reply.View, reply.Version
+				n++
+				sent += proto.Size(ask)
+				received += proto.Size(reply)
+			}
+			for range 2 {
+				for _, ask := range asks {
+					beat(ask)
+				}
+			}
+			sent, received, n = 0, 0, 0
+			for b.Loop() {
+				ask := asks[n%hosts]
+				if n%1000 == 0 {
+					ask.Load = 0.5 - ask.Load
+				}
+				beat(ask)
+			}
+			b.ReportMetric(float64(sent)/float64(n), "ask-bytes")
+			b.ReportMetric(float64(received)/float64(n), "reply-bytes")
+		})
+	}
+}
+
+// BenchmarkBeatCall gives the time of a heartbeat over a loopback connection,
+// which includes both ends, for docs/CAPACITY.md.
+func BenchmarkBeatCall(b *testing.B) {
+	c := single(b)
+	client := agateclient.New(agateclient.Config{
+		Replicas: []netip.AddrPort{c.cfg.Settings.Peer},
+		Dialer:   c.dialer,
+		Sender:   c.identity,
+	})
+	ask := heartbeat(1)
+	for b.Loop() {
+		if _, err := client.Beat(context.Background(), ask); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/io/agatecontrol/group.go
@@ -0,0 +1,272 @@
+package agatecontrol
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"time"
+
+	"agategate/core/agatequorum"
+	"agategate/io/agateclient"
+	"agategate/io/agatereplica"
+	"agategate/io/agatewire"
+)
+
+const (
+	// searchPause is the pause between two rounds of questions for a group.
+	searchPause = 200 * time.Millisecond
+	// searchTime bounds one question.
+	searchTime = 500 * time.Millisecond
+	// joinEvery and repairEvery are the intervals of the duties that heal the
+	// membership.
+	joinEvery   = 500 * time.Millisecond
+	repairEvery = 500 * time.Millisecond
+)
+
+// findGroup returns the first membership of a new group, or none when the
+// replica continues or joins one. It reports false when the process stops
+// before.
+func (c *Control) findGroup(fresh bool) (agatequorum.Members, bool) {
+	if !fresh {
+		return nil, true
+	}
+	for {
+		bootstrap, found := c.search()
+		if found {
+			return bootstrap, true
+		}
+		select {
+		case <-c.ctx.Done():
+			return nil, false
+		case <-time.After(searchPause):
+		}
+	}
+}
+
+// search asks the initial members once. An existing group always goes first:
+// a new one is started only by the first initial member, and only when all
+// others answer that they belong to none. Since a group acknowledges nothing
+// before a majority of the initial members adopted it, two groups cannot both
+// come into force.
+func (c *Control) search() (bootstrap agatequorum.Members, found bool) {
+	members := agatequorum.Members{{ID: c.id, Address: c.cfg.Settings.Peer}}
+	first := true
+	for i, m := range c.cfg.Settings.Members {
+		if m.Address == c.cfg.Settings.Peer {
+			first = i == 0
+			continue
+		}
+		reply, err := c.askGroup(m.Address)
+		if err != nil {
+			members = nil
+			continue
+		}
+		if !reply.Fresh {
+			return c.adopt(reply), true
+		}
+		if members != nil {
+			members = append(members, agatequorum.Member{ID: reply.Id, Address: m.Address})
+		}
+	}
+	if c.cfg.Settings.Join || !first || len(members) != len(c.cfg.Settings.Members) {
+		return nil, false
+	}
+	slices.SortFunc(members, func(a, b agatequorum.Member) int { return cmp.Compare(a.ID, b.ID) })
+	c.log.Info("starting a new group", "members", len(members))
+	return members, true
+}
+
+// adopt returns the first membership of a group that has not changed since,
+// if this replica is in it.
+func (c *Control) adopt(reply *agatewire.GroupReply) agatequorum.Members {
+	if !reply.Initial {
+		c.log.Info("joining an existing group", "from", reply.Sender.GetHost())
+		return nil
+	}
+	var members agatequorum.Members
+	mine := false
+	for _, m := range reply.Members {
+		addr, err := netip.ParseAddrPort(m.Address)
+		if err != nil {
+			return nil
+		}
+		members = append(members, agatequorum.Member{ID: m.Id, Address: addr, Learner: m.Learner})
+		mine = mine || m.Id == c.id
+	}
+	if !mine {
+		return nil
+	}
+	c.log.Info("adopting a new group", "from", reply.Sender.GetHost(), "members", len(members))
+	return members
+}
+
+func (c *Control) askGroup(addr netip.AddrPort) (*agatewire.GroupReply, error) {
+	conn, err := c.dialer.Conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, searchTime)
+	defer cancel()
+	reply, err := agatewire.NewQuorumClient(conn).Group(ctx, &agatewire.GroupAsk{Sender: c.identity()})
+	c.dialer.Report(addr, err)
+	return reply, err
+}
+
+// groupReply tells a starting replica what this one knows.
+func (c *Control) groupReply() *agatewire.GroupReply {
+	reply := &agatewire.GroupReply{
+		Sender: c.identity(),
+		Id:     c.id,
+		Fresh:  c.fresh.Load(),
+		Admin:  c.cfg.Settings.Admin.String(),
+	}
+	r := c.replica.Load()
+	if r == nil {
+		// Without a replica a known group cannot be named yet. A process that
+		// restarts with state is not fresh and only seconds away from it.
+		return reply
+	}
+	st := r.Status()
+	reply.Applied = st.Applied
+	for _, m := range st.Members {
+		reply.Members = append(reply.Members, &agatewire.Replica{Id: m.ID, Address: m.Address.String(), Learner: m.Learner})
+	}
+	reply.Initial = st.Commit <= 1 && len(st.Members) == len(c.cfg.Settings.Members)
+	return reply
+}
+
+// join asks the group to admit this replica until it has a vote.
+func (c *Control) join(ctx context.Context) {
+	r := c.replica.Load()
+	if r.Status().Members.Voter(c.id) {
+		c.fresh.Store(false)
+		return
+	}
+	ask := &agatewire.JoinAsk{
+		Sender: c.identity(),
+		Replica: &agatewire.Replica{
+			Id:      c.id,
+			Name:    c.cfg.Settings.Name,
+			Address: c.cfg.Settings.Peer.String(),
+		},
+	}
+	for _, m := range c.cfg.Settings.Members {
+		if m.Address == c.cfg.Settings.Peer {
+			continue
+		}
+		conn, err := c.dialer.Conn(m.Address)
+		if err != nil {
+			continue
+		}
+		one, cancel := context.WithTimeout(ctx, searchTime)
+		reply, err := agatewire.NewQuorumClient(conn).Join(one, ask)
+		cancel()
+		c.dialer.Report(m.Address, err)
+		if err == nil && reply.Leader == "" {
+			return
+		}
+	}
+}
+
+// admit adds a replica as a learner. Only the leader can.
+func (c *Control) admit(ctx context.Context, ask *agatewire.JoinAsk) (*agatewire.JoinReply, error) {
+	reply := &agatewire.JoinReply{Sender: c.identity()}
+	r := c.replica.Load()
+	if r == nil {
+		reply.Leader = agateclient.LeaderUnknown
+		return reply, nil
+	}
+	st := r.Status()
+	if member, ok := st.Members.Find(ask.Replica.GetId()); ok {
+		reply.Member = !member.Learner
+		return reply, nil
+	}
+	addr, err := netip.ParseAddrPort(ask.Replica.GetAddress())
+	if err != nil {
+		return nil, invalid("address: %v", err)
+	}
+	err = r.AddLearner(ctx, ask.Replica.GetId(), addr)
+	var notLeader *agatereplica.NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		reply.Leader = c.leaderAddress(notLeader.Leader)
+	case err != nil:
+		return nil, unavailable("join: %v", err)
+	default:
+		c.placed("replica admitted as learner", agatequorum.Member{ID: ask.Replica.GetId(), Address: addr}, "joined")
+	}
+	return reply, nil
+}
+
+// repair heals the membership, one change at a time: it promotes a learner
+// that holds a full durable copy, and removes a replica whose address belongs
+// to another identity now.
+func (c *Control) repair(ctx context.Context) {
+	if !c.leads() {
+		return
+	}
+	r := c.replica.Load()
+	for _, m := range r.Status().Members {
+		if !m.Learner {
+			continue
+		}
+		if err := r.Promote(ctx, m.ID); err == nil {
+			c.placed("learner promoted", m, "full-copy")
+		}
+	}
+	members := r.Status().Members
+	for _, m := range members {
+		if m.ID == c.id || !c.replaced(members, m) {
+			continue
+		}
+		if err := r.Remove(ctx, m.ID); err == nil {
+			c.placed("replaced replica removed", m, "replaced")
+		}
+	}
+}
+
+// replaced reports whether the process at a member's address has another
+// identity now and, for a voter, whether that one has its vote already.
+func (c *Control) replaced(members agatequorum.Members, old agatequorum.Member) bool {
+	shared := false
+	for _, m := range members {
+		shared = shared || (m.ID != old.ID && m.Address == old.Address)
+	}
+	if !shared {
+		return false
+	}
+	reply, err := c.askGroup(old.Address)
+	if err != nil || reply.Id == old.ID {
+		return false
+	}
+	return old.Learner || members.Voter(reply.Id)
+}
+
+func (c *Control) placed(what string, m agatequorum.Member, reason string) {
+	c.log.Info(what, "kind", "placement", "choice", m.Address, "id", m.ID, "reason", reason)
+}
+
+// addressOf returns where a replica is reached: as the membership says, or as
+// a replica that is not a member yet wrote in its message.
+func (c *Control) addressOf(id uint64) netip.AddrPort {
+	if r := c.replica.Load(); r != nil {
+		if m, ok := r.Status().Members.Find(id); ok {
+			return m.Address
+		}
+	}
+	if addr, ok := c.callers.Load(id); ok {
+		return addr.(netip.AddrPort)
+	}
+	return netip.AddrPort{}
+}
+
+// leaderAddress names a leader for callers that must ask it.
+func (c *Control) leaderAddress(id uint64) string {
+	addr := c.addressOf(id)
+	if id == 0 || !addr.IsValid() {
+		return agateclient.LeaderUnknown
+	}
+	return addr.String()
+}
--- /dev/null
+++ b/io/agatecontrol/operate.go
@@ -0,0 +1,336 @@
+package agatecontrol
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"agategate/core/agatequorum"
+	"agategate/core/agatestate"
+	"agategate/io/agatelog"
+	"agategate/io/agateops"
+	"agategate/io/agatereplica"
+	"agategate/io/agatewire"
+)
+
+// explainTime bounds the question to one entry host.
+const explainTime = time.Second
+
+// ops connects the operators' interface.
+func (c *Control) ops() agateops.Config {
+	return agateops.Config{
+		Apply:   c.apply,
+		Config:  c.configuration,
+		Status:  c.status,
+		Explain: c.explain,
+		Members: c.changeMembers,
+		Ready:   c.notReady,
+		Metrics: c.metrics.set,
+		Body:    int64(c.cfg.Settings.Limit.Body),
+		Call:    c.cfg.Settings.Wait.Call,
+		Log:     c.log.Named("operators"),
+	}
+}
+
+var errNoGroup = errors.New("agatecontrol: the replica belongs to no group yet")
+
+// notReady returns why operators cannot be served, or nil.
+func (c *Control) notReady() error {
+	r := c.replica.Load()
+	if r == nil {
+		return errNoGroup
+	}
+	if err := r.Fault(); err != nil {
+		return err
+	}
+	if r.Status().Leader == 0 {
+		return errors.New("agatecontrol: no leader is known")
+	}
+	return nil
+}
+
+// apply proposes a configuration.
+func (c *Control) apply(ctx context.Context, r agateops.ChangeRequest) agateops.ChangeResult {
+	res, err := c.propose(ctx, agatestate.Command{Configure: &agatestate.Configure{
+		Change:   r.Change,
+		Base:     r.Base,
+		Document: r.Document,
+	}})
+	if err != nil {
+		c.metrics.change("failed")
+		return agateops.ChangeResult{Reply: c.whyFailed(ctx, err)}
+	}
+	out := agateops.ChangeResult{Revision: res.Revision, Change: res.Change}
+	switch res.Verdict {
+	case agatestate.Accepted:
+		out.Outcome = agateops.Done
+	case agatestate.Conflict:
+		out.Outcome = agateops.Conflict
+		out.Reason = "another change won"
+	case agatestate.Reused:
+		out.Outcome = agateops.Conflict
+		out.Reason = "the change id was used with another document"
+	default:
+		out.Outcome = agateops.Invalid
+		out.Reason = res.Verdict.String()
+	}
+	c.metrics.change(string(out.Outcome))
+	c.log.Info("configuration change", "kind", "change", "choice", res.Revision, "reason", res.Verdict.String(),
+		"change", r.Change, "base", r.Base)
+	return out
+}
+
+// whyFailed says why a proposal or a read was not carried out.
+func (c *Control) whyFailed(ctx context.Context, err error) agateops.Reply {
+	var notLeader *agatereplica.NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		return agateops.Reply{Outcome: agateops.Elsewhere, Leader: c.leaderAdmin(ctx, notLeader.Leader), Reason: "another replica leads"}
+	case errors.Is(err, agatereplica.ErrUnknown), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return agateops.Reply{Outcome: agateops.Unknown, Reason: "the result is not known"}
+	}
+	return agateops.Reply{Outcome: agateops.NotRun, Reason: err.Error()}
+}
+
+// leaderAdmin asks the leader for its address for operators.
+func (c *Control) leaderAdmin(ctx context.Context, id uint64) string {
+	addr := c.addressOf(id)
+	if id == 0 || !addr.IsValid() || ctx.Err() != nil {
+		return ""
+	}
+	reply, err := c.askGroup(addr)
+	if err != nil {
+		return ""
+	}
+	return reply.Admin
+}
+
+// read confirms that this replica leads.
+func (c *Control) read(ctx context.Context) (*agatereplica.Replica, error) {
+	r := c.replica.Load()
+	if r == nil {
+		return nil, &agatereplica.NotLeaderError{}
+	}
+	return r, r.Read(ctx)
+}
+
+// configuration returns the newest configuration.
+func (c *Control) configuration(ctx context.Context) agateops.ConfigResult {
+	if _, err := c.read(ctx); err != nil {
+		return agateops.ConfigResult{Reply: c.failedRead(ctx, err)}
+	}
+	cur := c.machine.Config()
+	return agateops.ConfigResult{
+		Reply: agateops.Reply{Outcome: agateops.Done},
+		Configuration: agateops.Configuration{
+			Revision: cur.Revision,
+			Change:   cur.Change,
+			At:       cur.At,
+			Document: cur.Document,
+		},
+	}
+}
+
+// failedRead is whyFailed for a call that proposed nothing.
+func (c *Control) failedRead(ctx context.Context, err error) agateops.Reply {
+	reply := c.whyFailed(ctx, err)
+	if reply.Outcome == agateops.Unknown {
+		reply.Outcome = agateops.NotRun
+		reply.Reason = "no majority answered in time"
+	}
+	return reply
+}
+
+// status returns what the leader knows of the system.
+func (c *Control) status(ctx context.Context) agateops.StatusResult {
+	r, err := c.read(ctx)
+	if err != nil {
+		return agateops.StatusResult{Reply: c.failedRead(ctx, err)}
+	}
+	now := time.Now()
+	st := r.Status()
+	cur := c.machine.Config()
+	out := agateops.StatusResult{Reply: agateops.Reply{Outcome: agateops.Done}}
+	out.Status = agateops.Status{
+		Name:     c.cfg.Settings.Name,
+		Leader:   c.cfg.Settings.Name,
+		Term:     st.Term,
+		Commit:   st.Commit,
+		Applied:  st.Applied,
+		Revision: cur.Revision,
+		Change:   cur.Change,
+		At:       cur.At,
+		Members:  c.members(st.Members, st.Leader),
+		Grants:   c.granted(now),
+		Drains:   c.drains(cur.Document),
+	}
+	sums := newUpstreamSums()
+	for _, h := range c.sessions.all() {
+		out.Hosts = append(out.Hosts, c.host(now, h))
+		sums.add(now, h)
+	}
+	out.Upstreams = sums.list()
+	return out
+}
+
+// host describes one entry host. The wall-clock time at which the revision was
+// accepted is this process's own, so Took needs no common clock.
+func (c *Control) host(now time.Time, h session) agateops.Host {
+	out := agateops.Host{
+		Name:     h.host,
+		Region:   h.beat.Region,
+		Domain:   h.beat.Domain,
+		Caller:   h.beat.Caller,
+		Revision: h.inForce,
+		Since:    h.since,
+		Draining: h.beat.Draining,
+		Load:     h.beat.Load,
+		Alive:    now.Sub(h.at) <= sessionLease,
+	}
+	if at, ok := c.accepted.at(h.inForce); ok && h.since.After(at) {
+		out.Took = h.since.Sub(at)
+	}
+	return out
+}
+
+// members describes the control group. Names come from the settings, since
+// the membership itself holds identities and addresses.
+func (c *Control) members(ms agatequorum.Members, leader uint64) []agateops.Member {
+	out := make([]agateops.Member, 0, len(ms))
+	for _, m := range ms {
+		role := "voter"
+		switch {
+		case m.Learner:
+			role = "learner"
+		case m.ID == leader:
+			role = "leader"
+		}
+		out = append(out, agateops.Member{
+			ID:      m.ID,
+			Name:    c.nameOf(m.Address),
+			Address: m.Address.String(),
+			Role:    role,
+		})
+	}
+	var asks sync.WaitGroup
+	for i := range out {
+		asks.Go(func() {
+			reply, err := c.askGroup(ms[i].Address)
+			out[i].Alive = ms[i].ID == c.id || (err == nil && reply.Id == ms[i].ID)
+			if err == nil {
+				out[i].Match = reply.Applied
+			}
+		})
+	}
+	asks.Wait()
+	return out
+}
+
+func (c *Control) nameOf(addr netip.AddrPort) string {
+	for _, m := range c.cfg.Settings.Members {
+		if m.Address == addr {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// changeMembers changes the control group on an operator's order.
+func (c *Control) changeMembers(ctx context.Context, req agateops.MemberRequest) agateops.MemberResult {
+	r, err := c.read(ctx)
+	if err == nil {
+		err = c.changeMember(ctx, r, req)
+	}
+	switch {
+	case errors.Is(err, agatereplica.ErrMember), errors.Is(err, agatereplica.ErrBehind), errors.Is(err, agatereplica.ErrBusy):
+		return agateops.MemberResult{Reply: agateops.Reply{Outcome: agateops.Conflict, Reason: err.Error()}}
+	case err != nil:
+		return agateops.MemberResult{Reply: c.whyFailed(ctx, err)}
+	}
+	st := r.Status()
+	return agateops.MemberResult{
+		Reply:   agateops.Reply{Outcome: agateops.Done},
+		Members: c.members(st.Members, st.Leader),
+	}
+}
+
+func (c *Control) changeMember(ctx context.Context, r *agatereplica.Replica, req agateops.MemberRequest) error {
+	switch req.Action {
+	case agateops.Promote:
+		return r.Promote(ctx, req.ID)
+	case agateops.Remove:
+		return r.Remove(ctx, req.ID)
+	}
+	addr, err := netip.ParseAddrPort(req.Address)
+	if err != nil {
+		return agatereplica.ErrMember
+	}
+	reply, err := c.askGroup(addr)
+	if err != nil {
+		return err
+	}
+	return r.AddLearner(ctx, reply.Id, addr)
+}
+
+// explain asks every entry host for its decisions on a request.
+func (c *Control) explain(ctx context.Context, request string) agateops.ExplainResult {
+	if _, err := c.read(ctx); err != nil {
+		return agateops.ExplainResult{Reply: c.failedRead(ctx, err)}
+	}
+	out := agateops.ExplainResult{Reply: agateops.Reply{Outcome: agateops.Done}}
+	var mu sync.Mutex
+	var asks sync.WaitGroup
+	now := time.Now()
+	for _, h := range c.sessions.all() {
+		if now.Sub(h.at) > sessionLease {
+			continue
+		}
+		asks.Go(func() {
+			decisions, err := c.askDecisions(ctx, h.beat.Peer, request)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil:
+				out.Missing = append(out.Missing, h.host)
+			case len(decisions) > 0:
+				out.Hosts = append(out.Hosts, agateops.HostDecisions{Host: h.host, Decisions: decisions})
+			}
+		})
+	}
+	asks.Wait()
+	return out
+}
+
+func (c *Control) askDecisions(ctx context.Context, peer, request string) ([]agatelog.Decision, error) {
+	addr, err := netip.ParseAddrPort(peer)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := c.dialer.Conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, explainTime)
+	defer cancel()
+	reply, err := agatewire.NewPeerClient(conn).Explain(ctx, &agatewire.ExplainAsk{Sender: c.identity(), Request: request})
+	c.dialer.Report(addr, err)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]agatelog.Decision, 0, len(reply.Decisions))
+	for _, d := range reply.Decisions {
+		out = append(out, agatelog.Decision{
+			Time:    time.Unix(0, d.Time),
+			Request: request,
+			Service: d.Service,
+			Kind:    agatelog.Kind(d.Kind),
+			Choice:  d.Choice,
+			Reason:  d.Reason,
+			Outcome: agatelog.Outcome(d.Outcome),
+			Took:    time.Duration(d.Took),
+		})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/io/agatecontrol/service.go
@@ -0,0 +1,207 @@
+package agatecontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"agategate/core/agatestate"
+	"agategate/io/agateclient"
+	"agategate/io/agatereplica"
+	"agategate/io/agatewire"
+)
+
+func invalid(format string, args ...any) error {
+	return status.Error(codes.InvalidArgument, fmt.Sprintf("agatecontrol: "+format, args...))
+}
+
+func unavailable(format string, args ...any) error {
+	return status.Error(codes.Unavailable, fmt.Sprintf("agatecontrol: "+format, args...))
+}
+
+// quorumService serves other control replicas.
+type quorumService struct {
+	agatewire.UnimplementedQuorumServer
+	c *Control
+}
+
+// Deliver takes quorum messages until the sender ends the stream.
+func (s *quorumService) Deliver(stream grpc.ClientStreamingServer[agatewire.Envelope, agatewire.DeliverReply]) error {
+	for {
+		e, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&agatewire.DeliverReply{})
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.c.deliver(e); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Control) deliver(e *agatewire.Envelope) error {
+	r := c.replica.Load()
+	if r == nil || e.To != c.id {
+		return nil // meant for an earlier identity at this address
+	}
+	m, err := agatereplica.DecodeMessage(e.Message)
+	if err != nil {
+		return invalid("quorum message: %v", err)
+	}
+	if m.Address.IsValid() {
+		c.callers.Store(m.From, m.Address)
+	}
+	r.Deliver(e.From, m)
+	return nil
+}
+
+// Group tells a starting replica which group this one belongs to.
+func (s *quorumService) Group(context.Context, *agatewire.GroupAsk) (*agatewire.GroupReply, error) {
+	return s.c.groupReply(), nil
+}
+
+// Join admits a replica.
+func (s *quorumService) Join(ctx context.Context, ask *agatewire.JoinAsk) (*agatewire.JoinReply, error) {
+	return s.c.admit(ctx, ask)
+}
+
+// controlService serves entry hosts.
+type controlService struct {
+	agatewire.UnimplementedControlServer
+	c *Control
+}
+
+// confirm returns the address of another leader, or "" when this replica is
+// the leader with a lease or a majority behind it.
+func (c *Control) confirm(ctx context.Context) (leader string, err error) {
+	r := c.replica.Load()
+	if r == nil {
+		return agateclient.LeaderUnknown, nil
+	}
+	err = r.Read(ctx)
+	var notLeader *agatereplica.NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		return c.leaderAddress(notLeader.Leader), nil
+	case err != nil:
+		return "", unavailable("%v", err)
+	}
+	return "", nil
+}
+
+// Beat takes the heartbeat of an entry host.
+func (s *controlService) Beat(ctx context.Context, ask *agatewire.BeatAsk) (*agatewire.BeatReply, error) {
+	c := s.c
+	if ask.Sender.GetHost() == "" {
+		return nil, invalid("heartbeat without a sender")
+	}
+	reply := &agatewire.BeatReply{Sender: c.identity()}
+	leader, err := c.confirm(ctx)
+	if err != nil || leader != "" {
+		reply.Leader = leader
+		return reply, err
+	}
+	now := time.Now()
+	c.sessions.heard(now, ask)
+	reply.Revision = c.machine.Config().Revision
+	c.sessions.fill(reply, c.epoch, ask)
+	reply.Grants = c.grant(now, ask)
+	reply.Applied = c.machine.Index()
+	c.addSuspects(reply, ask.Suspects)
+	return reply, nil
+}
+
+func (c *Control) addSuspects(reply *agatewire.BeatReply, since uint64) {
+	delta := c.machine.SuspectsSince(since)
+	reply.Index = delta.Index
+	reply.Full = delta.Full
+	for _, s := range delta.Suspects {
+		reply.Suspects = append(reply.Suspects, &agatewire.Suspect{
+			Print:  s.Print[:],
+			Deaths: uint32(s.Deaths),
+			Index:  s.Index,
+		})
+	}
+}
+
+// Config returns the newest configuration.
+func (s *controlService) Config(ctx context.Context, _ *agatewire.ConfigAsk) (*agatewire.ConfigReply, error) {
+	reply := &agatewire.ConfigReply{Sender: s.c.identity()}
+	leader, err := s.c.confirm(ctx)
+	if err != nil || leader != "" {
+		reply.Leader = leader
+		return reply, err
+	}
+	cur := s.c.machine.Config()
+	reply.Revision = cur.Revision
+	reply.Document = cur.Document
+	reply.Change = cur.Change
+	return reply, nil
+}
+
+// Read confirms the newest revision and log index.
+func (s *controlService) Read(ctx context.Context, _ *agatewire.ReadAsk) (*agatewire.ReadReply, error) {
+	reply := &agatewire.ReadReply{Sender: s.c.identity()}
+	leader, err := s.c.confirm(ctx)
+	if err != nil || leader != "" {
+		reply.Leader = leader
+		return reply, err
+	}
+	reply.Revision = s.c.machine.Config().Revision
+	reply.Applied = s.c.machine.Index()
+	return reply, nil
+}
+
+// Submit proposes a command of an entry host.
+func (s *controlService) Submit(ctx context.Context, ask *agatewire.SubmitAsk) (*agatewire.SubmitReply, error) {
+	c := s.c
+	reply := &agatewire.SubmitReply{Sender: c.identity()}
+	cmd, err := agatestate.Decode(ask.Command)
+	if err != nil {
+		return nil, invalid("command: %v", err)
+	}
+	if cmd.Configure != nil || cmd.Expire != nil {
+		return nil, invalid("command is not for entry hosts")
+	}
+	r := c.replica.Load()
+	if r == nil {
+		reply.Code = agateclient.CodeNotLeader
+		reply.Leader = agateclient.LeaderUnknown
+		return reply, nil
+	}
+	cmd.Now = c.time.now(r.Status().Term, c.machine.Now()).UnixMilli()
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	reply.Result, err = r.Propose(ctx, agatestate.Encode(cmd))
+	c.fillError(reply, err)
+	return reply, nil
+}
+
+// fillError sets code and leader after a proposal that was not applied.
+func (c *Control) fillError(reply *agatewire.SubmitReply, err error) {
+	if err == nil {
+		return
+	}
+	reply.Error = err.Error()
+	var notLeader *agatereplica.NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		reply.Code = agateclient.CodeNotLeader
+		reply.Leader = c.leaderAddress(notLeader.Leader)
+	case errors.Is(err, agatereplica.ErrFull):
+		reply.Code = agateclient.CodeRefused
+	case errors.Is(err, agatereplica.ErrStopped):
+		reply.Code = agateclient.CodeNotLeader
+		reply.Leader = agateclient.LeaderUnknown
+	default:
+		reply.Code = agateclient.CodeUnknown
+	}
+}
--- /dev/null
+++ b/io/agatedemo/system.go
@@ -0,0 +1,348 @@
+package agatedemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"agategate/core/agateinventory"
+	"agategate/io/agatecontrol"
+	"agategate/io/agateentry"
+	"agategate/io/agatelog"
+	"agategate/io/agateops"
+	"agategate/io/agatesettings"
+)
+
+// Defaults of SystemConfig.
+const (
+	DefaultControls  = 3
+	DefaultEntries   = 4
+	DefaultUpstreams = 4
+	readyPause       = 20 * time.Millisecond
+)
+
+// SystemConfig sets up a System.
+type SystemConfig struct {
+	// Controls and Entries are the numbers of processes' roles. The defaults
+	// are 3 and 4.
+	Controls int
+	Entries  int
+	// Upstreams is the number for each service. The default is 4.
+	Upstreams int
+	// Work is the time that a request takes at an upstream. The default is
+	// 10 ms.
+	Work time.Duration
+	// Verbose writes the processes' log lines to Output.
+	Verbose bool
+	Output  io.Writer
+}
+
+// System is a whole system in one process.
+type System struct {
+	cfg       SystemConfig
+	dir       string
+	Controls  []*agatecontrol.Control
+	Entries   []*agateentry.Entry
+	Upstreams []*Upstream
+
+	controls []agatesettings.Control
+	entries  []agatesettings.Entry
+	operator *agateops.Client
+}
+
+// regions of the demo, each with two failure domains.
+var regions = []string{"centro", "occidente"}
+
+// services of the demo.
+var services = []string{"quotes", "labels"}
+
+// StartSystem starts all processes' roles, applies an inventory and returns
+// when it is in force on all entry hosts and all upstreams are known.
+func StartSystem(ctx context.Context, cfg SystemConfig) (*System, error) {
+	if cfg.Controls <= 0 {
+		cfg.Controls = DefaultControls
+	}
+	if cfg.Entries <= 0 {
+		cfg.Entries = DefaultEntries
+	}
+	if cfg.Upstreams <= 0 {
+		cfg.Upstreams = DefaultUpstreams
+	}
+	if cfg.Output == nil {
+		cfg.Output = io.Discard
+	}
+	dir, err := os.MkdirTemp("", "agategate-demo-")
+	if err != nil {
+		return nil, fmt.Errorf("agatedemo: %w", err)
+	}
+	s := &System{cfg: cfg, dir: dir}
+	for _, step := range []func(context.Context) error{s.startControls, s.startEntries, s.applyInventory, s.startUpstreams, s.awaitUpstreams} {
+		if err := step(ctx); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// freeAddresses returns loopback addresses whose ports were free just now.
+func freeAddresses(n int) ([]netip.AddrPort, error) {
+	out := make([]netip.AddrPort, 0, n)
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("agatedemo: %w", err)
+		}
+		defer ln.Close()
+		out = append(out, ln.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return out, nil
+}
+
+func (s *System) logger(name string) *agatelog.Log {
+	level := "off"
+	if s.cfg.Verbose {
+		level = "info"
+	}
+	return agatelog.New(agatelog.Config{Name: name, Level: level, Output: s.cfg.Output})
+}
+
+func (s *System) startControls(context.Context) error {
+	addrs, err := freeAddresses(2 * s.cfg.Controls)
+	if err != nil {
+		return err
+	}
+	var members []string
+	for i := range s.cfg.Controls {
+		members = append(members, fmt.Sprintf("control-%d=%s", i+1, addrs[2*i]))
+	}
+	var admins []string
+	for i := range s.cfg.Controls {
+		name := fmt.Sprintf("control-%d", i+1)
+		settings, err := defaults[agatesettings.Control](map[string]string{
+			"name":         name,
+			"region":       regions[i%len(regions)],
+			"domain":       domain(i%len(regions), 0),
+			"data":         filepath.Join(s.dir, name),
+			"members":      strings.Join(members, ","),
+			"peer":         addrs[2*i].String(),
+			"admin":        addrs[2*i+1].String(),
+			"tls.insecure": "true",
+		})
+		if err != nil {
+			return err
+		}
+		s.controls = append(s.controls, settings)
+		admins = append(admins, settings.Admin.String())
+	}
+	for _, settings := range s.controls {
+		c, err := agatecontrol.Start(agatecontrol.Config{Settings: settings, Logger: s.logger(settings.Name).Logger()})
+		if err != nil {
+			return err
+		}
+		s.Controls = append(s.Controls, c)
+	}
+	s.operator, err = agateops.NewClient(agateops.ClientConfig{Hosts: admins})
+	return err
+}
+
+// defaults returns settings with their default values but for those named.
+func defaults[T agatesettings.Settings](set map[string]string) (T, error) {
+	settings, problems := agatesettings.Load[T](agatesettings.Source{Flags: set})
+	if len(problems) > 0 {
+		return settings, fmt.Errorf("agatedemo: settings: %w", problems)
+	}
+	return settings, nil
+}
+
+func domain(region, n int) string {
+	return fmt.Sprintf("%s-%c", regions[region], 'a'+rune(n))
+}
+
+func (s *System) startEntries(context.Context) error {
+	addrs, err := freeAddresses(3 * s.cfg.Entries)
+	if err != nil {
+		return err
+	}
+	for i := range s.cfg.Entries {
+		settings, err := defaults[agatesettings.Entry](map[string]string{
+			"name":         fmt.Sprintf("entry-%d", i+1),
+			"region":       regions[i%len(regions)],
+			"domain":       domain(i%len(regions), i/len(regions)%2),
+			"caller":       addrs[3*i].String(),
+			"peer":         addrs[3*i+1].String(),
+			"admin":        addrs[3*i+2].String(),
+			"replicas":     s.replicas(),
+			"tls.insecure": "true",
+		})
+		if err != nil {
+			return err
+		}
+		s.entries = append(s.entries, settings)
+		e, err := agateentry.Start(agateentry.Config{Settings: settings, Log: s.logger(settings.Name)})
+		if err != nil {
+			return err
+		}
+		s.Entries = append(s.Entries, e)
+	}
+	return nil
+}
+
+// replicas lists the control replicas as a settings value.
+func (s *System) replicas() string {
+	var addrs []string
+	for _, c := range s.controls {
+		addrs = append(addrs, c.Peer.String())
+	}
+	return strings.Join(addrs, ",")
+}
+
+// Inventory returns the inventory that the system starts with.
+func (s *System) Inventory() *agateinventory.Inventory {
+	inv := &agateinventory.Inventory{Target: agateinventory.DefaultTarget, Eject: agateinventory.DefaultEject}
+	for i, r := range regions {
+		inv.Regions = append(inv.Regions, agateinventory.Region{Name: r, Domains: []string{domain(i, 0), domain(i, 1)}})
+		prefix := netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(i + 1), 0, 0}), 16)
+		inv.Blocks = append(inv.Blocks, agateinventory.Block{Prefix: prefix, Region: r})
+	}
+	inv.Services = []agateinventory.Service{
+		{Name: "quotes", Regions: regions, Deadline: 2 * time.Second, Reads: []agateinventory.Operation{{Method: "GET", Path: "/quotes/*"}}},
+		{Name: "labels", Regions: regions, Deadline: 2 * time.Second, Actions: []agateinventory.Operation{{Method: "POST", Path: "/labels"}}},
+	}
+	for _, e := range s.entries {
+		inv.Hosts = append(inv.Hosts, agateinventory.Host{Name: e.Name, Region: e.Region, Domain: e.Domain, Caller: e.Caller, Peer: e.Peer})
+	}
+	return inv
+}
+
+func (s *System) applyInventory(ctx context.Context) error {
+	document := agateinventory.Format(s.Inventory())
+	var rev agateops.Revision
+	err := s.until(ctx, "a leader", func() error {
+		var err error
+		rev, err = s.operator.Apply(ctx, agateops.ChangeRequest{Change: "demo-start", Document: document})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return s.awaitRevision(ctx, rev.Revision)
+}
+
+// awaitRevision waits until a revision is in force on all entry hosts.
+func (s *System) awaitRevision(ctx context.Context, revision uint64) error {
+	return s.until(ctx, "the configuration", func() error {
+		for i, e := range s.Entries {
+			if e != nil && (!e.Ready() || e.Revision() < revision) {
+				return fmt.Errorf("agatedemo: entry host %s is at revision %d", s.entries[i].Name, e.Revision())
+			}
+		}
+		return nil
+	})
+}
+
+// until repeats a step until it succeeds or ctx ends.
+func (s *System) until(ctx context.Context, what string, step func() error) error {
+	for {
+		err := step()
+		if err == nil {
+			return nil
+		}
+		if sleep(ctx, readyPause) != nil {
+			return fmt.Errorf("agatedemo: waiting for %s: %w", what, err)
+		}
+	}
+}
+
+func (s *System) startUpstreams(context.Context) error {
+	for i := range s.cfg.Upstreams * len(services) {
+		region := i / len(services) % len(regions)
+		u, err := StartUpstream(UpstreamConfig{
+			ID:      fmt.Sprintf("%s-%d", services[i%len(services)], i/len(services)+1),
+			Service: services[i%len(services)],
+			Region:  regions[region],
+			Domain:  domain(region, i/len(services)/len(regions)%2),
+			Address: netip.MustParseAddrPort("127.0.0.1:0"),
+			Work:    s.cfg.Work,
+			Entries: s.callers(i),
+		})
+		if err != nil {
+			return err
+		}
+		s.Upstreams = append(s.Upstreams, u)
+	}
+	return nil
+}
+
+// callers lists the entry hosts from the nth on.
+func (s *System) callers(n int) []netip.AddrPort {
+	var out []netip.AddrPort
+	for i := range s.entries {
+		out = append(out, s.entries[(n+i)%len(s.entries)].Caller)
+	}
+	return out
+}
+
+// awaitUpstreams waits until every entry host knows every upstream.
+func (s *System) awaitUpstreams(ctx context.Context) error {
+	return s.until(ctx, "the announcements", func() error {
+		for i, e := range s.Entries {
+			if n := e.Upstreams(); n < len(s.Upstreams) {
+				return fmt.Errorf("agatedemo: %s knows %d of %d upstreams", s.entries[i].Name, n, len(s.Upstreams))
+			}
+		}
+		return nil
+	})
+}
+
+// Drain orders a drain and waits until it is in force on all entry hosts.
+func (s *System) Drain(ctx context.Context, kind, name string) error {
+	rev, err := s.operator.Drain(ctx, agateops.DrainRequest{
+		Kind:   agateinventory.DrainKind(kind),
+		Name:   name,
+		Change: "demo-drain-" + name,
+	})
+	if err != nil {
+		return fmt.Errorf("agatedemo: drain: %w", err)
+	}
+	return s.awaitRevision(ctx, rev.Revision)
+}
+
+// StopEntry stops one entry host as planned.
+func (s *System) StopEntry(ctx context.Context, n int) error {
+	e := s.Entries[n]
+	err := e.Stop(ctx)
+	s.Entries[n] = nil
+	return err
+}
+
+// Runs returns how often a key was executed on all upstreams.
+func (s *System) Runs(key string) int {
+	n := 0
+	for _, u := range s.Upstreams {
+		n += u.Runs(key)
+	}
+	return n
+}
+
+// Close ends everything and removes the data directory.
+func (s *System) Close() {
+	for _, u := range s.Upstreams {
+		u.Kill()
+	}
+	for _, e := range s.Entries {
+		if e != nil {
+			e.Kill()
+		}
+	}
+	for _, c := range s.Controls {
+		c.Kill()
+	}
+	_ = os.RemoveAll(s.dir)
+}
--- /dev/null
+++ b/io/agateentry/admin.go
@@ -0,0 +1,171 @@
+package agateentry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"agategate/core/agateinventory"
+	"agategate/core/agateroute"
+	"agategate/io/agatelog"
+	"agategate/io/agatewire"
+)
+
+// adminConns bounds the connections to the admin listener.
+const adminConns = 64
+
+// stateMap holds the last announced state of each upstream. It is safe for
+// concurrent use.
+type stateMap struct {
+	states sync.Map // agateroute.UpstreamID to agateroute.State
+}
+
+// Swap stores a state and returns the one before.
+func (m *stateMap) Swap(id agateroute.UpstreamID, s agateroute.State) (before agateroute.State, known bool) {
+	old, known := m.states.Swap(id, s)
+	if !known {
+		return 0, false
+	}
+	return old.(agateroute.State), true
+}
+
+func newEcho() *echo.Echo {
+	ec := echo.New()
+	ec.HideBanner = true
+	ec.HidePort = true
+	return ec
+}
+
+// callerRoutes serves callers and upstreams.
+func (e *Entry) callerRoutes() http.Handler {
+	ec := newEcho()
+	ec.Use(e.whenReady)
+	ec.GET("/v1/lookup", e.handleLookup)
+	ec.Any("/v1/call/*", e.handleCall)
+	ec.POST("/v1/announce", e.handleAnnounce)
+	return ec
+}
+
+// whenReady refuses requests until the newest configuration is known.
+func (e *Entry) whenReady(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if e.ready.Load() {
+			return next(c)
+		}
+		writeReply(c.Response(), newID(), refusal(http.StatusServiceUnavailable, outcomeUnknown, "starting", minRetryAfter))
+		return nil
+	}
+}
+
+// adminRoutes serves operators on the loopback address.
+func (e *Entry) adminRoutes() http.Handler {
+	ec := newEcho()
+	ec.GET("/metrics", echo.WrapHandler(e.metrics.set))
+	ec.GET("/healthz", e.handleHealth)
+	ec.GET("/v1/explain/:request", e.handleExplain)
+	return ec
+}
+
+// wireHealth is the body of GET /healthz.
+type wireHealth struct {
+	Host      string `json:"host"`
+	Ready     bool   `json:"ready"`
+	Draining  bool   `json:"draining"`
+	Revision  uint64 `json:"revision"`
+	Upstreams int    `json:"upstreams"`
+}
+
+func (e *Entry) handleHealth(c echo.Context) error {
+	h := wireHealth{
+		Host:      e.cfg.Settings.Name,
+		Ready:     e.Ready(),
+		Draining:  e.draining.Load(),
+		Revision:  e.Revision(),
+		Upstreams: e.Upstreams(),
+	}
+	status := http.StatusOK
+	if !h.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	return c.JSON(status, h)
+}
+
+func (e *Entry) handleExplain(c echo.Context) error {
+	return c.JSON(http.StatusOK, e.cfg.Log.Explain(c.Param("request")))
+}
+
+// Explain returns what this host decided about a request.
+func (s *peerService) Explain(_ context.Context, ask *agatewire.ExplainAsk) (*agatewire.ExplainReply, error) {
+	reply := &agatewire.ExplainReply{Sender: s.e.identity()}
+	for _, d := range s.e.cfg.Log.Explain(ask.Request) {
+		reply.Decisions = append(reply.Decisions, &agatewire.Decided{
+			Time:       d.Time.UnixNano(),
+			Kind:       string(d.Kind),
+			Service:    d.Service,
+			Choice:     d.Choice,
+			Reason:     d.Reason,
+			Considered: int64(len(d.Considered)),
+			Outcome:    string(d.Outcome),
+			Took:       int64(d.Took),
+		})
+	}
+	return reply, nil
+}
+
+// logDecision records a decision of the table.
+func (e *Entry) logDecision(cl *call, kind agatelog.Kind, d agateroute.Decision) {
+	line := agatelog.Decision{
+		Request: cl.id,
+		Service: cl.service,
+		Kind:    kind,
+		Action:  cl.class == agateinventory.Action,
+		Choice:  string(d.Upstream),
+		Reason:  string(d.Reason),
+		Outcome: agatelog.Sent,
+		Took:    time.Since(cl.arrived),
+	}
+	if d.Verdict != agateroute.Send {
+		line.Outcome = agatelog.Refused
+	}
+	if d.Reason == agateroute.ReasonOverflow {
+		line.Kind = agatelog.Shift
+	}
+	e.cfg.Log.Record(&line)
+}
+
+// recordCall records the final answer to a call.
+func (e *Entry) recordCall(cl *call, rep reply) {
+	took := time.Since(cl.arrived)
+	e.metrics.ended(cl, rep, took)
+	e.cfg.Log.Record(&agatelog.Decision{
+		Request: cl.id,
+		Service: cl.service,
+		Kind:    agatelog.Admit,
+		Action:  cl.class == agateinventory.Action,
+		Choice:  e.cfg.Settings.Name,
+		Reason:  rep.reason,
+		Outcome: agatelog.Outcome(rep.outcome),
+		Took:    took,
+	})
+}
+
+// routeEvent logs what happened to the table.
+func (e *Entry) routeEvent(ev agateroute.Event) {
+	kind := agatelog.Placement
+	if ev.Kind == agateroute.EventDrain || ev.Kind == agateroute.EventDrained {
+		kind = agatelog.Drain
+	}
+	if ev.Kind == agateroute.EventDrained {
+		e.metrics.drained("upstream", ev.Time)
+	}
+	e.cfg.Log.Record(&agatelog.Decision{
+		Service: ev.Service,
+		Kind:    kind,
+		Choice:  string(ev.Upstream),
+		Reason:  string(ev.Kind),
+		Took:    ev.Time,
+	})
+}
--- /dev/null
+++ b/io/agateentry/beat.go
@@ -0,0 +1,137 @@
+package agateentry
+
+import (
+	"context"
+	"time"
+
+	"agategate/core/agateroute"
+	"agategate/io/agatewire"
+)
+
+// beatEvery is the interval between two heartbeats to the control leader.
+const beatEvery = 500 * time.Millisecond
+
+// beats is the duty that sends heartbeats to the control leader and takes
+// from the replies what the group knows.
+type beats struct {
+	e    *Entry
+	wake chan struct{}
+}
+
+func newBeats(e *Entry) *beats {
+	return &beats{e: e, wake: make(chan struct{}, 1)}
+}
+
+// kick makes a heartbeat due now.
+func (b *beats) kick() {
+	select {
+	case b.wake <- struct{}{}:
+	default: // one is due already
+	}
+}
+
+func (b *beats) run(ctx context.Context) {
+	tick := time.NewTicker(beatEvery)
+	defer tick.Stop()
+	for {
+		b.once(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-b.wake:
+		}
+	}
+}
+
+func (b *beats) once(ctx context.Context) {
+	e := b.e
+	one, cancel := context.WithTimeout(ctx, e.cfg.Settings.Wait.Control)
+	defer cancel()
+	reply, err := e.control.Beat(one, b.ask(time.Now()))
+	if err != nil {
+		e.metrics.beat(false)
+		return
+	}
+	e.metrics.beat(true)
+	now := time.Now()
+	e.learnIndex(reply.Applied)
+	e.directory.heardControl(now, reply)
+	e.shift.accept(now, reply)
+	e.suspects.control(reply)
+	if reply.Revision > e.config.Load().revision {
+		e.fetch(ctx)
+	}
+}
+
+// learnIndex keeps the newest log index that this host knows. Claims carry
+// the index known when their request arrived.
+func (e *Entry) learnIndex(index uint64) {
+	for {
+		old := e.seen.Load()
+		if index <= old || e.seen.CompareAndSwap(old, index) {
+			return
+		}
+	}
+}
+
+func (b *beats) ask(now time.Time) *agatewire.BeatAsk {
+	e := b.e
+	ask := &agatewire.BeatAsk{
+		Sender:   e.identity(),
+		Region:   e.cfg.Settings.Region,
+		Domain:   e.cfg.Settings.Domain,
+		Caller:   e.cfg.Settings.Caller.String(),
+		Peer:     e.cfg.Settings.Peer.String(),
+		Draining: e.draining.Load(),
+		Load:     e.load(),
+		Suspects: e.suspects.index(),
+		Asks:     e.shift.asks(now),
+	}
+	ask.View, ask.Version = e.directory.held()
+	for _, u := range e.usage() {
+		ask.Usage = append(ask.Usage, &agatewire.Usage{
+			Service:  u.Service,
+			Region:   u.Region,
+			Capacity: u.Capacity,
+			Demand:   u.Demand,
+			Inflight: float64(u.Own),
+		})
+	}
+	return ask
+}
+
+// usage is the newest view of capacity and demand. The routing duty renews it.
+func (e *Entry) usage() []agateroute.Usage {
+	if u := e.used.Load(); u != nil {
+		return *u
+	}
+	return nil
+}
+
+// observeTable is called by the routing duty and publishes what other duties
+// need to know of the table.
+func (e *Entry) observeTable(now time.Time) {
+	used := e.router.table.Usage(now)
+	e.used.Store(&used)
+	hedges := make(map[string]time.Duration, len(used))
+	for _, u := range used {
+		if u.Region == e.cfg.Settings.Region {
+			hedges[u.Service] = e.router.table.HedgeAfter(u.Service, u.Region)
+		}
+	}
+	e.hedges.store(hedges)
+	e.metrics.usage(used)
+}
+
+// load is the use of this host's own region, from 0 to 1 and above, as the
+// largest over its services.
+func (e *Entry) load() float64 {
+	load := 0.0
+	for _, u := range e.usage() {
+		if u.Region == e.cfg.Settings.Region && u.Slots > 0 {
+			load = max(load, float64(u.InFlight+u.Waiting)/float64(u.Slots))
+		}
+	}
+	return load
+}
--- /dev/null
+++ b/io/agateentry/exchange.go
@@ -0,0 +1,237 @@
+package agateentry
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"agategate/core/agateinventory"
+	"agategate/core/agateroute"
+	"agategate/io/agatewire"
+)
+
+const (
+	// exchangeEvery is the interval between two exchanges with a peer.
+	exchangeEvery = 100 * time.Millisecond
+	// exchangeTime bounds one exchange.
+	exchangeTime = 300 * time.Millisecond
+)
+
+// exchange is the duty that keeps entry hosts informed of each other: one
+// goroutine for each peer, so that a silent peer delays no other one.
+type exchange struct {
+	e   *Entry
+	ctx context.Context
+
+	mu    sync.Mutex
+	peers map[string]*exchangePeer
+	done  sync.WaitGroup
+}
+
+// exchangePeer is what this host knows about its exchanges with one peer.
+type exchangePeer struct {
+	host   string
+	addr   netip.AddrPort
+	cancel context.CancelFunc
+	wake   chan struct{}
+	// epoch is the peer's last start and acked the version of this host's
+	// table that it has.
+	epoch uint64
+	acked uint64
+}
+
+func newExchange(ctx context.Context, e *Entry) *exchange {
+	return &exchange{e: e, ctx: ctx, peers: make(map[string]*exchangePeer)}
+}
+
+// configured starts and ends exchanges as the inventory's hosts change.
+func (x *exchange) configured(inv *agateinventory.Inventory) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	wanted := make(map[string]netip.AddrPort)
+	for _, h := range inv.Hosts {
+		if h.Name != x.e.cfg.Settings.Name {
+			wanted[h.Name] = h.Peer
+		}
+	}
+	for name, p := range x.peers {
+		if wanted[name] != p.addr {
+			p.cancel()
+			delete(x.peers, name)
+		}
+	}
+	for name, addr := range wanted {
+		if x.peers[name] == nil {
+			x.peers[name] = x.start(name, addr)
+		}
+	}
+}
+
+func (x *exchange) start(host string, addr netip.AddrPort) *exchangePeer {
+	ctx, cancel := context.WithCancel(x.ctx)
+	p := &exchangePeer{host: host, addr: addr, cancel: cancel, wake: make(chan struct{}, 1)}
+	x.done.Go(func() { x.serve(ctx, p) })
+	return p
+}
+
+// kick makes all exchanges due now.
+func (x *exchange) kick() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, p := range x.peers {
+		select {
+		case p.wake <- struct{}{}:
+		default: // one is due already
+		}
+	}
+}
+
+func (x *exchange) serve(ctx context.Context, p *exchangePeer) {
+	tick := time.NewTicker(exchangeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-p.wake:
+		}
+		x.once(ctx, p)
+	}
+}
+
+// once tells the peer what is new here.
+func (x *exchange) once(ctx context.Context, p *exchangePeer) {
+	ask, ok := x.ask(p)
+	if !ok {
+		return
+	}
+	conn, err := x.e.dialer.Conn(p.addr)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTime)
+	defer cancel()
+	reply, err := agatewire.NewPeerClient(conn).Exchange(ctx, ask)
+	x.e.dialer.Report(p.addr, err)
+	if err != nil {
+		return
+	}
+	if reply.Sender.GetHost() != p.host {
+		x.e.log.Warn("another host answers at a peer's address", "peer", p.host, "host", reply.Sender.GetHost(), "address", p.addr)
+		return
+	}
+	if reply.Sender.Epoch != p.epoch {
+		p.epoch = reply.Sender.Epoch
+		p.acked = 0
+		return
+	}
+	p.acked = ask.Version
+	x.e.directory.heardPeer(time.Now(), reply.Sender, reply.Draining, reply.Load)
+	if len(reply.Document) > 0 {
+		x.e.install(reply.Sender.Revision, reply.Document, "", p.host)
+	}
+}
+
+func (x *exchange) ask(p *exchangePeer) (*agatewire.ExchangeAsk, bool) {
+	e := x.e
+	var out agateroute.Exchange
+	if !e.router.do(func(now time.Time) { out = e.router.table.Export(now, p.acked) }) {
+		return nil, false
+	}
+	ask := &agatewire.ExchangeAsk{
+		Sender:   e.identity(),
+		Region:   e.cfg.Settings.Region,
+		Domain:   e.cfg.Settings.Domain,
+		Caller:   e.cfg.Settings.Caller.String(),
+		Draining: e.draining.Load(),
+		Load:     e.load(),
+		Version:  out.Version,
+		Suspects: e.suspects.export(),
+	}
+	for i := range out.Announcements {
+		ask.Upstreams = append(ask.Upstreams, toWireUpstream(&out.Announcements[i]))
+	}
+	for _, n := range out.InFlight {
+		ask.Uses = append(ask.Uses, &agatewire.UpstreamUse{Id: string(n.ID), Inflight: uint32(n.InFlight)})
+	}
+	return ask, true
+}
+
+// peerService serves other own processes.
+type peerService struct {
+	agatewire.UnimplementedPeerServer
+	e *Entry
+}
+
+// Exchange takes what a peer tells.
+func (s *peerService) Exchange(_ context.Context, ask *agatewire.ExchangeAsk) (*agatewire.ExchangeReply, error) {
+	e := s.e
+	in := agateroute.Exchange{
+		Host:    ask.Sender.GetHost(),
+		Epoch:   ask.Sender.GetEpoch(),
+		Version: ask.Version,
+	}
+	for _, u := range ask.Upstreams {
+		if a, ok := fromWireUpstream(u); ok {
+			in.Announcements = append(in.Announcements, a)
+			e.noteUpstream(&a)
+		}
+	}
+	for _, u := range ask.Uses {
+		in.InFlight = append(in.InFlight, agateroute.Count{ID: agateroute.UpstreamID(u.Id), InFlight: int(u.Inflight)})
+	}
+	e.router.do(func(now time.Time) { e.router.table.Merge(now, in) })
+	e.suspects.merge(ask.Suspects)
+	e.directory.heardPeer(time.Now(), ask.Sender, ask.Draining, ask.Load)
+	reply := &agatewire.ExchangeReply{
+		Sender:   e.identity(),
+		Known:    ask.Version,
+		Draining: e.draining.Load(),
+		Load:     e.load(),
+	}
+	if cur := e.config.Load(); cur.revision > ask.Sender.GetRevision() {
+		reply.Document = cur.document
+		reply.Sender.Revision = cur.revision
+	}
+	return reply, nil
+}
+
+func toWireUpstream(a *agateroute.Announcement) *agatewire.UpstreamState {
+	return &agatewire.UpstreamState{
+		Id:          string(a.ID),
+		Incarnation: a.Incarnation,
+		Sequence:    a.Sequence,
+		Service:     a.Service,
+		Region:      a.Region,
+		Domain:      a.Domain,
+		Address:     a.Address.String(),
+		Slots:       uint32(a.Slots),
+		Connections: uint32(a.Connections),
+		Load:        a.Load,
+		State:       uint32(a.State),
+		Age:         int64(a.Age),
+	}
+}
+
+func fromWireUpstream(u *agatewire.UpstreamState) (agateroute.Announcement, bool) {
+	addr, err := netip.ParseAddrPort(u.Address)
+	if err != nil {
+		return agateroute.Announcement{}, false
+	}
+	return agateroute.Announcement{
+		ID:          agateroute.UpstreamID(u.Id),
+		Incarnation: u.Incarnation,
+		Sequence:    u.Sequence,
+		Service:     u.Service,
+		Region:      u.Region,
+		Domain:      u.Domain,
+		Address:     addr,
+		Slots:       int(u.Slots),
+		Connections: int(u.Connections),
+		Load:        u.Load,
+		State:       agateroute.State(u.State),
+		Age:         time.Duration(u.Age),
+	}, true
+}
--- /dev/null
+++ b/io/agaterun/run.go
@@ -0,0 +1,132 @@
+// Package agaterun runs the processes of the command line: it turns settings
+// into logs, metrics and TLS, starts a role and stops it as planned when its
+// context ends.
+//
+// # Usage
+//
+//	code := agatecli.Run(ctx, agaterun.Commands(ctx), os.Args[1:])
+package agaterun
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"agategate/io/agatecli"
+	"agategate/io/agatecontrol"
+	"agategate/io/agatedemo"
+	"agategate/io/agateentry"
+	"agategate/io/agatelog"
+	"agategate/io/agatemetrics"
+	"agategate/io/agatesettings"
+)
+
+// Commands returns a command line whose commands run the real processes. The
+// caller adds the environment and the streams.
+func Commands() agatecli.Config {
+	var r runner
+	return agatecli.Config{
+		Entry:         r.entry,
+		Control:       r.control,
+		Demo:          agatedemo.Run,
+		ReloadEntry:   r.reloadEntry,
+		ReloadControl: r.reloadControl,
+	}
+}
+
+// runner holds what a reload of the settings changes.
+type runner struct {
+	log atomic.Pointer[agatelog.Log]
+}
+
+func (r *runner) open(name string, s agatesettings.Log) *agatelog.Log {
+	log := agatelog.New(agatelog.Config{
+		Name:  name,
+		Level: s.Level,
+		JSON:  s.Format == "json",
+		Skip:  1 - s.Sample,
+		Ring:  s.Ring,
+	})
+	r.log.Store(log)
+	return log
+}
+
+func (r *runner) reload(s agatesettings.Log) {
+	if log := r.log.Load(); log != nil {
+		log.SetLevel(s.Level)
+		log.SetSkip(1 - s.Sample)
+	}
+}
+
+func (r *runner) reloadEntry(s agatesettings.Entry)     { r.reload(s.Log) }
+func (r *runner) reloadControl(s agatesettings.Control) { r.reload(s.Log) }
+
+// tlsFor returns the configuration of both ends, or nil for plain text, which
+// is logged.
+func tlsFor(log *agatelog.Log, s agatesettings.TLS) (*tls.Config, error) {
+	cfg, err := s.Config()
+	if errors.Is(err, agatesettings.ErrInsecure) {
+		log.Logger().Warn("connections between own processes and of operators are plain text", "key", "tls.insecure")
+		return nil, nil
+	}
+	return cfg, err
+}
+
+// entry runs an entry process until ctx ends, then stops it as planned.
+func (r *runner) entry(ctx context.Context, s agatesettings.Entry) error {
+	log := r.open(s.Name, s.Log)
+	secure, err := tlsFor(log, s.TLS)
+	if err != nil {
+		return err
+	}
+	e, err := agateentry.Start(agateentry.Config{
+		Settings:  s,
+		Log:       log,
+		Metrics:   agatemetrics.New(agatemetrics.Config{}),
+		ServerTLS: secure,
+		ClientTLS: secure,
+	})
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return stop(s.Grace, e.Stop)
+}
+
+// control runs a control replica until ctx ends, then stops it as planned.
+func (r *runner) control(ctx context.Context, s agatesettings.Control) error {
+	log := r.open(s.Name, s.Log)
+	secure, err := tlsFor(log, s.TLS)
+	if err != nil {
+		return err
+	}
+	c, err := agatecontrol.Start(agatecontrol.Config{
+		Settings:  s,
+		Logger:    log.Logger(),
+		Metrics:   agatemetrics.New(agatemetrics.Config{}),
+		ServerTLS: secure,
+		ClientTLS: secure,
+		AdminTLS:  secure,
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return stop(s.Grace, c.Stop)
+	case <-c.Failed():
+		err := c.Fault()
+		_ = stop(s.Grace, c.Stop)
+		return fmt.Errorf("agaterun: replica stopped: %w", err)
+	}
+}
+
+// stop calls a planned stop with its longest time.
+func stop(grace time.Duration, planned func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	return planned(ctx)
+}
