agateroute: one turn in four goes by deadline

Cause: at load 0.95 reads expired behind actions that had time left, more than with plain least in flight. Change: while overload does not last, one turn in four belongs to the request with the earlier deadline. Reads keep a quarter of the turns, actions a half.

--- a/core/agateroute/away.go
+++ b/core/agateroute/away.go
@@ -63,7 +63,7 @@
 		d.RetryAfter = t.cfg.Interval
 		return r, d, true
 	}
-	first := a.queue.first()
+	first := a.queue.first(true)
 	for _, c := range [2]agateinventory.Class{first, 1 - first} {
 		if len(a.queue.waiting[c]) == 0 {
 			continue
--- a/core/agateroute/queue.go
+++ b/core/agateroute/queue.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// readTurn is the turn in a cycle of turns that belongs to reads while both
-	// classes wait: reads get one quarter, actions three.
-	readTurn  = 3
+	// turnCycle is the number of turns in a cycle while both classes wait.
+	// readTurn belongs to reads, openTurn to the request with the earlier
+	// deadline unless overload lasts, and the others to actions: reads get at least one quarter,
+	// actions at least one half.
 	turnCycle = 4
+	readTurn  = 3
+	openTurn  = 1
 
 	// lookAhead is how many waiting requests of a class may be passed by one
 	// behind them when rules bar their upstreams.
@@ -60,9 +63,22 @@
 	return r
 }
 
-// first is the class whose turn it is.
-func (q *queue) first() agateinventory.Class {
-	if q.turn%turnCycle == readTurn {
+// first is the class whose turn it is. Under lasting overload the open turn
+// belongs to actions.
+func (q *queue) first(overload bool) agateinventory.Class {
+	switch turn := q.turn % turnCycle; {
+	case turn == readTurn:
+		return agateinventory.Read
+	case turn == openTurn && !overload:
+		return q.urgent()
+	}
+	return agateinventory.Action
+}
+
+// urgent is the class whose first request has the earlier deadline.
+func (q *queue) urgent() agateinventory.Class {
+	actions, reads := q.waiting[agateinventory.Action], q.waiting[agateinventory.Read]
+	if len(reads) > 0 && len(actions) > 0 && reads[0].Deadline.Before(actions[0].Deadline) {
 		return agateinventory.Read
 	}
 	return agateinventory.Action
@@ -166,7 +182,7 @@
 		d.RetryAfter = roundUp(g.usual())
 		return r, d, true
 	}
-	first := g.queue.first()
+	first := g.queue.first(g.pressure.mean > pressureFrom)
 	for _, c := range [2]agateinventory.Class{first, 1 - first} {
 		if r, d, ok := t.serve(now, g, c); ok {
 			return r, d, true
