--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -369,20 +369,20 @@
 // part is this host's part of the requests that may be in flight, by what it
 // holds against what all hosts hold.
 func (g *group) part() float64 {
-	own := float64(g.own)*g.present + float64(g.queue.len()) + 1
+	own := float64(g.live)*g.present + float64(g.queue.len()) + 1
 	return g.slots * g.excess() * own / (own + g.peers + float64(g.peersWaiting))
 }
 
 // below reports whether this host has less than its part. Without this, a
 // host with a long queue would wait for others with none.
 func (g *group) below() bool {
-	return float64(g.own)*g.present+1 <= g.part()
+	return float64(g.live)*g.present+1 <= g.part()
 }
 
 // above reports whether this host has more than its part while no slot is
 // idle. Without this, hosts that all see the same old count fill the same gap.
 func (g *group) above() bool {
-	return g.load() >= g.slots && float64(g.own)*g.present+1 > g.part()*partSlack
+	return g.load() >= g.slots && float64(g.live)*g.present+1 > g.part()*partSlack
 }
 
 // cost is the expected time to answer in units of the group's usual latency.
@@ -451,5 +451,5 @@
 // load is the number of requests at the upstreams over all entry hosts as
 // known.
 func (g *group) load() float64 {
-	return float64(g.own)*g.present + g.peers
+	return float64(g.live)*g.present + g.peers
 }
