--- a/io/agatestore/journal.go
+++ b/io/agatestore/journal.go
@@ -46,17 +46,16 @@
 }
 
 // compact drops the log up to a snapshot, or all of it if it does not lead
-// on from the snapshot. It reports whether a suffix is kept.
-func (j *journal) compact(index, term uint64) bool {
+// on from the snapshot.
+func (j *journal) compact(index, term uint64) {
 	if t, ok := j.term(index); !ok || t != term {
 		*j = journal{first: index + 1, last: index}
-		return false
+		return
 	}
 	j.first = index + 1
 	for len(j.terms) > 1 && j.terms[1].first <= j.first {
 		j.terms = j.terms[1:]
 	}
-	return true
 }
 
 // fit cuts off the entries that the snapshot covers and checks that the
--- a/io/agatestore/snapshot.go
+++ b/io/agatestore/snapshot.go
@@ -42,7 +42,7 @@
 	f.Close()
 	j := s.journal
 	j.terms = slices.Clone(j.terms)
-	kept := j.compact(sn.Index, sn.Term)
+	j.compact(sn.Index, sn.Term)
 	file, size, err := s.newSegment(number, sn.Index, sn.Term, j.last)
 	if err != nil {
 		s.remove(name + tempSuffix)
@@ -55,7 +55,7 @@
 	s.journal = j
 	s.snapshot = sn.Index
 	s.useSegment(number, file, size)
-	s.deleteOld(kept)
+	s.deleteOld()
 	return nil
 }
 
@@ -124,14 +124,14 @@
 	s.segments = append(s.segments, segment{number: number})
 }
 
-// deleteOld deletes the older snapshots and the segments without entries
-// above the snapshot, oldest first. What could not be deleted is tried again
+// deleteOld deletes the older snapshot and the segments without entries
+// above the newest one, oldest first. What could not be deleted is tried again
 // by the next Open.
-func (s *Store) deleteOld(kept bool) {
+func (s *Store) deleteOld() {
 	sealed := len(s.segments) - 1
 	newest := s.segments[sealed].number
 	n := 0
-	for n < sealed && (!kept || s.segments[n].max <= s.snapshot) {
+	for n < sealed && s.segments[n].last <= s.snapshot {
 		s.remove(logName(s.segments[n].number))
 		n++
 	}
--- a/io/agatestore/store.go
+++ b/io/agatestore/store.go
@@ -92,7 +92,7 @@
 // segment is one file of the log.
 type segment struct {
 	number uint64
-	max    uint64 // highest index of an entry in it
+	last   uint64 // index of its last entry, 0 if it has none
 }
 
 // Open locks the directory, creating it if need be, and returns what it
@@ -177,7 +177,7 @@
 	s.hard = b.Hard
 	s.journal.append(es)
 	if len(es) > 0 {
-		last.max = max(last.max, es[len(es)-1].Index)
+		last.last = es[len(es)-1].Index
 	}
 	return nil
 }
