--- a/core/agatequorum/core.go
+++ b/core/agatequorum/core.go
@@ -31,7 +31,8 @@
 	contact  time.Duration
 	deadline time.Duration
 	votes    map[uint64]bool
-	// rounds counts the vote rounds since a leader was last heard.
+	// rounds counts the vote rounds that the replica took part in since a
+	// leader was last heard.
 	rounds int
 	// ordered marks an election that the leader told the replica to start.
 	ordered bool
@@ -122,19 +123,22 @@
 	}
 }
 
-// maxBackoff bounds the doubling of the random part of the election timeout.
-const maxBackoff = 3
+// freeRounds is the number of vote rounds before the election timeout grows,
+// maxDoublings bounds its growth.
+const (
+	freeRounds   = 2
+	maxDoublings = 3
+)
 
-// resetDeadline draws a new election timeout. Its random part grows with each
-// vote round that elected nobody: with slow disks or many candidates a round
-// may need longer than the first timeout.
+// resetDeadline draws a new election timeout. It doubles with each further
+// vote round that elected nobody: with slow disks a round needs longer than
+// the first timeout.
 func (c *Core) resetDeadline() {
-	spread := uint64(c.cfg.ElectionMax-c.cfg.ElectionMin) << min(max(c.rounds-1, 0), maxBackoff)
 	wait := c.cfg.ElectionMin
-	if spread > 0 {
+	if spread := uint64(c.cfg.ElectionMax - c.cfg.ElectionMin); spread > 0 {
 		wait += time.Duration(c.cfg.Rand() % spread)
 	}
-	c.deadline = c.now + wait
+	c.deadline = c.now + wait<<min(max(c.rounds-freeRounds, 0), maxDoublings)
 }
 
 // Step handles a message from another replica. Messages may be lost,
--- a/core/agatequorum/core_test.go
+++ b/core/agatequorum/core_test.go
@@ -54,22 +54,25 @@
 func TestReplaceDuringWrite(t *testing.T) {
 	c := newCore()
 	c.Step(0, appendFrom(2, 2, 1, 1, commands(2, 2, 4)))
+	c.Step(time.Second, agatequorum.Message{
+		Kind: agatequorum.MessageVote, From: 3, To: 1, Term: 4, Index: 3, LogTerm: 3,
+	})
 	first := c.Ready().Write
+	assert.Equal(t, first.Hard, agatequorum.Hard{Term: 4, Vote: 3, Commit: 1})
 	before := slices.Clone(first.Entries)
-	c.Step(0, appendFrom(3, 3, 2, 2, commands(3, 3, 5)))
-	c.Step(0, appendFrom(3, 3, 5, 3, commands(3, 6, 6)))
+	c.Step(time.Second, appendFrom(3, 4, 2, 2, commands(3, 3, 4)))
 	assert.DeepEqual(t, first.Entries, before)
 	c.Advance(agatequorum.Done{Written: true})
 	rd := c.Ready()
-	// The acknowledgement of term 2 may leave now, none of term 3 may.
 	for _, m := range rd.Messages {
-		assert.Assert(t, m.Term == 2, "message %+v", m)
+		// The acknowledgement of term 2 may leave now, none of term 4 may.
+		assert.Assert(t, m.Kind != agatequorum.MessageAppendReply || m.Term == 2, "message %+v", m)
 	}
-	assert.DeepEqual(t, rd.Write.Entries, append(commands(3, 3, 5), commands(3, 6, 6)...))
-	c.Step(0, appendFrom(3, 3, 3, 3, nil))
+	assert.DeepEqual(t, rd.Write.Entries, commands(3, 3, 4))
+	c.Step(time.Second, appendFrom(3, 4, 3, 3, nil))
 	assert.Equal(t, acknowledged(c.Ready().Messages), uint64(0))
 	c.Advance(agatequorum.Done{Written: true})
-	assert.Equal(t, acknowledged(c.Ready().Messages), uint64(6))
+	assert.Equal(t, acknowledged(c.Ready().Messages), uint64(4))
 }
 
 // A vote must be durable before it is given, and must hold after a restart.
@@ -94,25 +97,32 @@
 }
 
 // A majority that holds an entry of an older term does not commit it: another
-// leader may still replace it. An entry of the leader's own term does.
+// leader may still replace it. An entry of the leader's own term does. A read
+// waits for that, too, and a candidate asks for votes only once its own is
+// durable.
 func TestCommitOnlyInOwnTerm(t *testing.T) {
 	c := newCore()
 	c.Step(0, appendFrom(2, 2, 1, 1, commands(2, 2, 2)))
 	c.Tick(time.Second)
 	for _, kind := range []agatequorum.MessageKind{agatequorum.MessagePreVoteReply, agatequorum.MessageVoteReply} {
-		c.Ready()
+		for _, m := range c.Ready().Messages {
+			assert.Assert(t, m.Kind != agatequorum.MessageVote, "message %+v", m)
+		}
 		c.Advance(agatequorum.Done{Written: true})
 		c.Step(time.Second, agatequorum.Message{Kind: kind, From: 3, To: 1, Term: 3})
 	}
 	c.Ready()
 	c.Advance(agatequorum.Done{Written: true})
 	assert.Equal(t, c.Status().Role, agatequorum.Leader)
-	reply := agatequorum.Message{Kind: agatequorum.MessageAppendReply, From: 3, To: 1, Term: 3, Index: 2}
+	assert.Equal(t, c.ReadIndex(time.Second, 8), agatequorum.Accepted)
+	reply := agatequorum.Message{Kind: agatequorum.MessageAppendReply, From: 3, To: 1, Term: 3, Index: 2, Round: 1}
 	c.Step(time.Second, reply)
 	assert.Equal(t, c.Status().Commit, uint64(1))
+	assert.Equal(t, len(c.Ready().Reads), 0)
 	reply.Index = 3
 	c.Step(time.Second, reply)
 	assert.Equal(t, c.Status().Commit, uint64(3))
+	assert.DeepEqual(t, c.Ready().Reads, []agatequorum.Read{{ID: 8, Index: 3}})
 }
 
 // A voter that heard from the leader must not vote, and must not enter the
--- a/core/agatequorum/election.go
+++ b/core/agatequorum/election.go
@@ -131,6 +131,7 @@
 		return
 	}
 	c.vote = m.From
+	c.rounds++
 	c.resetDeadline()
 	c.send(Message{Kind: MessageVoteReply, To: m.From}, needHard)
 }
--- a/core/agatequorum/sim_test.go
+++ b/core/agatequorum/sim_test.go
@@ -1,6 +1,7 @@
 package agatequorum_test
 
 import (
+	"bytes"
 	"container/heap"
 	"encoding/binary"
 	"math/rand/v2"
@@ -327,6 +328,9 @@
 	if sn := rd.Restore; sn != nil {
 		n.applied, n.saved, n.chain = sn.Index, sn.Index, binary.BigEndian.Uint64(sn.Data)
 		n.s.oracle.checkState(n)
+		if !bytes.Equal(sn.Data, state(n.chain)) {
+			n.s.t.Fatalf("replica %d restores a damaged snapshot %d", n.id, n.applied)
+		}
 	}
 	for _, e := range rd.Committed {
 		if e.Index != n.applied+1 {
@@ -345,8 +349,17 @@
 	}
 	if n.applied-n.saved >= n.s.every {
 		n.saved = n.applied
-		n.due = append(binary.BigEndian.AppendUint64(nil, n.chain), make([]byte, 150)...)
+		n.due = state(n.chain)
+	}
+}
+
+// state is a snapshot of several chunks that all depend on the chain.
+func state(chain uint64) []byte {
+	var data []byte
+	for i := range uint64(20) {
+		data = binary.BigEndian.AppendUint64(data, chain+i)
 	}
+	return data
 }
 
 func link(chain uint64, e agatequorum.Entry) uint64 {
