agatequorum: refuse membership changes that one more loss would make fatal

Promote is now Unsafe until the lost voter is removed, and Remove is Unsafe when too few voters answer.

--- a/core/agatequorum/change.go
+++ b/core/agatequorum/change.go
@@ -15,7 +15,8 @@
 	AddLearner ChangeKind = 1
 	// Promote gives a learner its vote. The outcome is Behind until the
 	// learner holds a durable copy of all that was committed at most
-	// ElectionMax before.
+	// ElectionMax before, and Unsafe while a voter is down that should be
+	// removed first.
 	Promote ChangeKind = 2
 	// Remove removes a voter or a learner. The last voter stays.
 	Remove ChangeKind = 3
@@ -72,11 +73,17 @@
 			return nil, Behind
 		}
 		next[i].Learner = false
+		if !c.safeToPromote(ms, next, ch.ID) {
+			return nil, Unsafe
+		}
 	case Remove:
 		if i < 0 || (!next[i].Learner && ms.Voters() == 1) {
 			return nil, Invalid
 		}
 		next = slices.Delete(next, i, i+1)
+		if !ms[i].Learner && c.answering(next, ch.ID) <= next.Voters()/2 {
+			return nil, Unsafe
+		}
 	default:
 		return nil, Invalid
 	}
@@ -90,11 +97,37 @@
 	return 1
 }
 
+// answers reports whether p has answered a message that was sent in the last
+// ElectionMin.
+func (c *Core) answers(p *peer) bool { return c.now-p.acked <= c.cfg.ElectionMin }
+
+// answering returns the number of voters that answer, apart from one.
+func (c *Core) answering(ms Members, except uint64) int {
+	n := 0
+	for _, m := range ms {
+		if m.Learner || m.ID == except {
+			continue
+		}
+		if p := c.peer(m.ID); m.ID == c.cfg.ID || (p != nil && c.answers(p)) {
+			n++
+		}
+	}
+	return n
+}
+
+// safeToPromote reports whether next keeps a majority if the promoted replica
+// is lost at once. With a voter down, four voters of which three answer are
+// worse than three of which two do. A group whose voters all answer may grow.
+func (c *Core) safeToPromote(ms, next Members, id uint64) bool {
+	n := c.answering(ms, id)
+	return n == ms.Voters() || n > next.Voters()/2
+}
+
 // caughtUp reports whether a learner answers and holds a durable copy of all
 // that was committed at most ElectionMax ago.
 func (c *Core) caughtUp(id uint64) bool {
 	p := c.peer(id)
-	if p == nil || p.acked == never || c.now-p.heard > c.cfg.ElectionMin {
+	if p == nil || !c.answers(p) {
 		return false
 	}
 	if p.match >= c.commit {
--- a/core/agatequorum/outcome.go
+++ b/core/agatequorum/outcome.go
@@ -19,9 +19,12 @@
 	Behind Outcome = 5
 	// Invalid means that the request does not fit the membership.
 	Invalid Outcome = 6
+	// Unsafe means that too few voters answer for the change: one more loss
+	// would leave the new membership without a majority.
+	Unsafe Outcome = 7
 )
 
-var outcomeNames = [...]string{"", "accepted", "not leader", "full", "busy", "behind", "invalid"}
+var outcomeNames = [...]string{"", "accepted", "not leader", "full", "busy", "behind", "invalid", "unsafe"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
--- a/core/agatequorum/sim_test.go
+++ b/core/agatequorum/sim_test.go
@@ -45,6 +45,8 @@
 	chunk     int
 	inflight  int
 	every     uint64
+	changes   []proposed
+	lostAt    time.Duration
 	oracle    oracle
 }
 
@@ -100,6 +102,12 @@
 
 type asked struct{ term, data uint64 }
 
+// proposed is a membership that a leader added to its log.
+type proposed struct {
+	index   uint64
+	members agatequorum.Members
+}
+
 func newSim(t failer, seed uint64) *sim {
 	return &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[uint64]*simNode{},
@@ -246,6 +254,7 @@
 func (n *simNode) lose() {
 	n.crash()
 	n.lost = true
+	n.s.lostAt = n.s.now
 	n.disk = agatequorum.Saved{}
 }
 
@@ -401,6 +410,9 @@
 
 func (n *simNode) change(kind agatequorum.ChangeKind, id uint64) agatequorum.Outcome {
 	o := n.core.ChangeMembers(n.clock(), agatequorum.Change{Kind: kind, ID: id})
+	if st := n.core.Status(); o == agatequorum.Accepted {
+		n.s.changes = append(n.s.changes, proposed{index: st.Last, members: st.Members})
+	}
 	n.act()
 	return o
 }
