--- a/io/agatereplica/ask.go
+++ b/io/agatereplica/ask.go
@@ -73,7 +73,8 @@
 }
 
 // Promote gives a learner its vote. It waits until the learner holds a full
-// durable copy and the promotion is committed, or until ctx ends.
+// durable copy and the promotion is committed, or until ctx ends. A voter that
+// was lost is removed first.
 func (r *Replica) Promote(ctx context.Context, id uint64) error {
 	return r.change(ctx, agatequorum.Change{Kind: agatequorum.Promote, ID: id})
 }
@@ -90,7 +91,7 @@
 		a := newAsk(askChange)
 		a.change = ch
 		_, err := r.ask(ctx, a)
-		if !isBusy(err) {
+		if !isEarly(err) {
 			return err
 		}
 		retry := time.NewTimer(r.cfg.Heartbeat)
--- a/io/agatereplica/driver.go
+++ b/io/agatereplica/driver.go
@@ -65,7 +65,9 @@
 		case <-d.r.stop:
 			return
 		case <-ticker.C:
-			d.core.Tick(d.r.cfg.Clock())
+			now := d.r.cfg.Clock()
+			d.core.Tick(now)
+			d.yield(now)
 		case m := <-d.r.inbox.Items():
 			d.core.Step(d.r.cfg.Clock(), m)
 		case a := <-d.r.asks.Items():
@@ -111,7 +113,8 @@
 	case askChange:
 		d.change(now, a)
 	case askYield:
-		d.yield(now, a)
+		d.yields = append(d.yields, a)
+		d.yield(now)
 	}
 }
 
@@ -147,13 +150,19 @@
 	}
 }
 
-func (d *driver) yield(now time.Duration, a *ask) {
-	switch d.core.Transfer(now, 0) {
-	case agatequorum.Accepted, agatequorum.Busy:
-		d.yields = append(d.yields, a)
-	default:
+// yield hands the lead over before the replica stops. It is tried again while
+// the replica leads and a caller waits.
+func (d *driver) yield(now time.Duration) {
+	if len(d.yields) > 0 && d.core.Transfer(now, 0) == agatequorum.Invalid {
+		d.answerYields()
+	}
+}
+
+func (d *driver) answerYields() {
+	for _, a := range d.yields {
 		a.reply(nil, nil)
 	}
+	d.yields = nil
 }
 
 // act does what the core asks for, and reports false when the replica must
@@ -211,7 +220,9 @@
 	for _, res := range rep.results {
 		d.resolve(res)
 	}
-	d.skipped()
+	if rep.restored {
+		d.skipped()
+	}
 	d.answerConfirmed()
 }
 
@@ -295,13 +306,10 @@
 		Full:    st.Full,
 		Dropped: d.r.inbox.Dropped(),
 	})
-	if st.Role == agatequorum.Leader {
-		return
-	}
-	for _, a := range d.yields {
-		a.reply(nil, nil)
+	yielded := st.Role != agatequorum.Leader && (st.Leader != 0 || !st.Members.Voter(d.r.cfg.ID))
+	if yielded && len(d.proposals) == 0 {
+		d.answerYields()
 	}
-	d.yields = nil
 }
 
 // end answers the callers that still wait when the replica stops.
@@ -317,7 +325,5 @@
 	for _, cr := range d.confirmed {
 		cr.ask.reply(nil, ErrStopped)
 	}
-	for _, a := range d.yields {
-		a.reply(nil, nil)
-	}
+	d.answerYields()
 }
--- a/io/agatereplica/errors.go
+++ b/io/agatereplica/errors.go
@@ -21,6 +21,9 @@
 	ErrMember = errors.New("agatereplica: change does not fit the membership")
 	// ErrBehind means that a learner does not hold a full durable copy yet.
 	ErrBehind = errors.New("agatereplica: learner does not hold a full durable copy")
+	// ErrUnsafe means that one more loss would leave the new membership
+	// without a majority: a voter that is down must be removed or return first.
+	ErrUnsafe = errors.New("agatereplica: too few voters answer for this membership change")
 	// ErrBusy means that an earlier membership change is not committed yet.
 	ErrBusy = errors.New("agatereplica: an earlier membership change is under way")
 )
@@ -50,7 +53,14 @@
 		return ErrBusy
 	case agatequorum.Behind:
 		return ErrBehind
+	case agatequorum.Unsafe:
+		return ErrUnsafe
 	default:
 		return ErrMember
 	}
 }
+
+// isEarly reports whether a membership change is worth another try.
+func isEarly(err error) bool {
+	return errors.Is(err, ErrBusy) || errors.Is(err, ErrBehind) || errors.Is(err, ErrUnsafe)
+}
--- a/io/agatereplica/machine.go
+++ b/io/agatereplica/machine.go
@@ -21,6 +21,7 @@
 	// snapshot is the state after applied, when it was due.
 	snapshot []byte
 	due      bool
+	restored bool
 	err      error
 }
 
@@ -69,6 +70,7 @@
 		m.applied = e.Index
 	}
 	rep.applied = m.applied
+	rep.restored = b.restore != nil
 	m.snapshot(&rep)
 	return rep
 }
--- a/io/agatereplica/replica.go
+++ b/io/agatereplica/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 
@@ -92,11 +91,12 @@
 	r.inbox.Offer(m)
 }
 
-// Stop hands the lead over to another voter, if this replica leads, and then
-// closes it. When ctx ends first, it closes the replica at once.
+// Stop closes the replica after it has handed the lead over, if it leads, and
+// answered the commands under way. New commands get a NotLeaderError
+// meanwhile. When ctx ends first, Stop closes the replica at once.
 func (r *Replica) Stop(ctx context.Context) error {
 	a := newAsk(askYield)
-	if r.Status().Role == agatequorum.Leader && r.asks.Offer(a) {
+	if r.asks.Offer(a) {
 		select {
 		case <-a.answer:
 		case <-ctx.Done():
@@ -132,6 +132,3 @@
 	r.fault.CompareAndSwap(nil, &err)
 	r.halt()
 }
-
-// isBusy reports whether a membership change is worth another try.
-func isBusy(err error) bool { return errors.Is(err, ErrBusy) || errors.Is(err, ErrBehind) }
