--- a/core/agatequorum/sim_test.go
+++ b/core/agatequorum/sim_test.go
@@ -1,6 +1,7 @@
 package agatequorum_test
 
 import (
+	"bytes"
 	"container/heap"
 	"encoding/binary"
 	"math/rand/v2"
@@ -44,6 +45,8 @@
 	chunk     int
 	inflight  int
 	every     uint64
+	changes   []proposed
+	lostAt    time.Duration
 	oracle    oracle
 }
 
@@ -99,6 +102,12 @@
 
 type asked struct{ term, data uint64 }
 
+// proposed is a membership that a leader added to its log.
+type proposed struct {
+	index   uint64
+	members agatequorum.Members
+}
+
 func newSim(t failer, seed uint64) *sim {
 	return &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[uint64]*simNode{},
@@ -245,6 +254,7 @@
 func (n *simNode) lose() {
 	n.crash()
 	n.lost = true
+	n.s.lostAt = n.s.now
 	n.disk = agatequorum.Saved{}
 }
 
@@ -327,6 +337,9 @@
 	if sn := rd.Restore; sn != nil {
 		n.applied, n.saved, n.chain = sn.Index, sn.Index, binary.BigEndian.Uint64(sn.Data)
 		n.s.oracle.checkState(n)
+		if !bytes.Equal(sn.Data, state(n.chain)) {
+			n.s.t.Fatalf("replica %d restores a damaged snapshot %d", n.id, n.applied)
+		}
 	}
 	for _, e := range rd.Committed {
 		if e.Index != n.applied+1 {
@@ -345,10 +358,19 @@
 	}
 	if n.applied-n.saved >= n.s.every {
 		n.saved = n.applied
-		n.due = append(binary.BigEndian.AppendUint64(nil, n.chain), make([]byte, 150)...)
+		n.due = state(n.chain)
 	}
 }
 
+// state is a snapshot of several chunks that all depend on the chain.
+func state(chain uint64) []byte {
+	var data []byte
+	for i := range uint64(20) {
+		data = binary.BigEndian.AppendUint64(data, chain+i)
+	}
+	return data
+}
+
 func link(chain uint64, e agatequorum.Entry) uint64 {
 	data := binary.BigEndian.AppendUint64(nil, chain)
 	data = binary.BigEndian.AppendUint64(data, e.Term)
@@ -388,6 +410,9 @@
 
 func (n *simNode) change(kind agatequorum.ChangeKind, id uint64) agatequorum.Outcome {
 	o := n.core.ChangeMembers(n.clock(), agatequorum.Change{Kind: kind, ID: id})
+	if st := n.core.Status(); o == agatequorum.Accepted {
+		n.s.changes = append(n.s.changes, proposed{index: st.Last, members: st.Members})
+	}
 	n.act()
 	return o
 }
