agatecontrol: the leader tells entry hosts of new revisions

Cause: a change came into force with the next heartbeat, up to 500 ms later; all ten hosts' heartbeats can fall together. Change: the leader notifies two entry hosts of each region at once; a host that learns from a peer of a newer revision asks that peer for it.

--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -95,6 +95,8 @@
 	// fresh says that the replica belongs to no group yet.
 	fresh atomic.Bool
 
+	// revised has an item when a new revision was applied here.
+	revised chan struct{}
 	// failed is closed when the replica stopped by itself.
 	failed chan struct{}
 	ctx    context.Context
@@ -118,6 +120,7 @@
 		epoch:    newEpoch(),
 		sessions: newSessions(),
 		metrics:  &metrics{set: cfg.Metrics},
+		revised:  make(chan struct{}, 1),
 		failed:   make(chan struct{}),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -197,6 +200,7 @@
 	c.replica.Store(r)
 	c.duties.Go(func() { c.watch(r) })
 	c.fresh.Store(saved.Fresh && len(bootstrap) == 0)
+	c.duties.Go(c.spread)
 	c.duties.Go(func() { c.every(expireEvery, c.expire) })
 	c.duties.Go(func() { c.every(repairEvery, c.repair) })
 	c.duties.Go(func() { c.every(sweepEvery, c.sweep) })
@@ -225,8 +229,16 @@
 // applyCommand applies a committed command and notes when a revision comes
 // into force here.
 func (c *Control) applyCommand(index uint64, data []byte) []byte {
+	before := c.machine.Config().Revision
 	out := c.machine.Apply(index, data)
-	c.accepted.note(c.machine.Config().Revision)
+	after := c.machine.Config().Revision
+	if after > before {
+		c.accepted.note(after)
+		select {
+		case c.revised <- struct{}{}:
+		default: // the duty has not handled the last one yet
+		}
+	}
 	return out
 }
 
--- a/io/agatedemo/system.go
+++ b/io/agatedemo/system.go
@@ -22,22 +22,28 @@
 // Defaults of SystemConfig.
 const (
 	DefaultControls  = 3
-	DefaultEntries   = 4
-	DefaultUpstreams = 4
+	DefaultEntries   = 6
+	DefaultUpstreams = 6
 	readyPause       = 20 * time.Millisecond
 )
 
 // SystemConfig sets up a System.
 type SystemConfig struct {
 	// Controls and Entries are the numbers of processes' roles. The defaults
-	// are 3 and 4.
+	// are 3 and 6.
 	Controls int
 	Entries  int
-	// Upstreams is the number for each service. The default is 4.
+	// Upstreams is the number for each service. The default is 6.
 	Upstreams int
+	// Slots and Connections are those of each upstream; see UpstreamConfig.
+	Slots       int
+	Connections int
 	// Work is the time that a request takes at an upstream. The default is
 	// 10 ms.
 	Work time.Duration
+	// Dial opens the connections between own processes, whose regions it is
+	// told. Tests add delays here. The default is the processes' own way.
+	Dial func(ctx context.Context, from, to string, addr netip.AddrPort) (net.Conn, error)
 	// Verbose writes the processes' log lines to Output.
 	Verbose bool
 	Output  io.Writer
@@ -57,7 +63,7 @@
 }
 
 // regions of the demo, each with two failure domains.
-var regions = []string{"centro", "occidente"}
+var regions = []string{"centro", "occidente", "oriente"}
 
 // services of the demo.
 var services = []string{"quotes", "labels"}
@@ -127,8 +133,8 @@
 		name := fmt.Sprintf("control-%d", i+1)
 		settings, err := defaults[agatesettings.Control](map[string]string{
 			"name":         name,
-			"region":       regions[i%len(regions)],
-			"domain":       domain(i%len(regions), 0),
+			"region":       regions[s.place(i)],
+			"domain":       domain(s.place(i), i%2),
 			"data":         filepath.Join(s.dir, name),
 			"members":      strings.Join(members, ","),
 			"peer":         addrs[2*i].String(),
@@ -142,7 +148,11 @@
 		admins = append(admins, settings.Admin.String())
 	}
 	for _, settings := range s.controls {
-		c, err := agatecontrol.Start(agatecontrol.Config{Settings: settings, Logger: s.logger(settings.Name).Logger()})
+		c, err := agatecontrol.Start(agatecontrol.Config{
+			Settings: settings,
+			Logger:   s.logger(settings.Name).Logger(),
+			Dial:     s.dial(settings.Region),
+		})
 		if err != nil {
 			return err
 		}
@@ -152,6 +162,41 @@
 	return err
 }
 
+// place returns the region of a control replica: five are placed 2-2-1, fewer
+// one in each region.
+func (s *System) place(replica int) int {
+	if s.cfg.Controls > len(regions) {
+		return replica / 2 % len(regions)
+	}
+	return replica % len(regions)
+}
+
+// dial returns nil for the processes' own way.
+func (s *System) dial(region string) func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	if s.cfg.Dial == nil {
+		return nil
+	}
+	return func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		return s.cfg.Dial(ctx, region, s.Region(addr), addr)
+	}
+}
+
+// Region returns the region of the process that listens at an address for own
+// processes.
+func (s *System) Region(addr netip.AddrPort) string {
+	for _, c := range s.controls {
+		if c.Peer == addr {
+			return c.Region
+		}
+	}
+	for _, e := range s.entries {
+		if e.Peer == addr {
+			return e.Region
+		}
+	}
+	return ""
+}
+
 // defaults returns settings with their default values but for those named.
 func defaults[T agatesettings.Settings](set map[string]string) (T, error) {
 	settings, problems := agatesettings.Load[T](agatesettings.Source{Flags: set})
@@ -185,7 +230,7 @@
 			return err
 		}
 		s.entries = append(s.entries, settings)
-		e, err := agateentry.Start(agateentry.Config{Settings: settings, Log: s.logger(settings.Name)})
+		e, err := agateentry.Start(agateentry.Config{Settings: settings, Log: s.logger(settings.Name), Dial: s.dial(settings.Region)})
 		if err != nil {
 			return err
 		}
@@ -264,13 +309,15 @@
 	for i := range s.cfg.Upstreams * len(services) {
 		region := i / len(services) % len(regions)
 		u, err := StartUpstream(UpstreamConfig{
-			ID:      fmt.Sprintf("%s-%d", services[i%len(services)], i/len(services)+1),
-			Service: services[i%len(services)],
-			Region:  regions[region],
-			Domain:  domain(region, i/len(services)/len(regions)%2),
-			Address: netip.MustParseAddrPort("127.0.0.1:0"),
-			Work:    s.cfg.Work,
-			Entries: s.callers(i),
+			ID:          fmt.Sprintf("%s-%d", services[i%len(services)], i/len(services)+1),
+			Service:     services[i%len(services)],
+			Region:      regions[region],
+			Domain:      domain(region, i/len(services)/len(regions)%2),
+			Address:     netip.MustParseAddrPort("127.0.0.1:0"),
+			Work:        s.cfg.Work,
+			Slots:       s.cfg.Slots,
+			Connections: s.cfg.Connections,
+			Entries:     s.callers(i),
 		})
 		if err != nil {
 			return err
@@ -314,6 +361,37 @@
 	return s.awaitRevision(ctx, rev.Revision)
 }
 
+// Settings returns the settings of the nth entry host.
+func (s *System) Settings(n int) agatesettings.Entry { return s.entries[n] }
+
+// UpstreamIn returns an upstream of a service in a region, or nil.
+func (s *System) UpstreamIn(service, region string) *Upstream {
+	for _, u := range s.Upstreams {
+		if u.cfg.Service == service && u.cfg.Region == region {
+			return u
+		}
+	}
+	return nil
+}
+
+// Change applies the inventory again as a new revision and waits until it is
+// in force on all entry hosts.
+func (s *System) Change(ctx context.Context) error {
+	cur, err := s.operator.Config(ctx)
+	if err != nil {
+		return fmt.Errorf("agatedemo: change: %w", err)
+	}
+	rev, err := s.operator.Apply(ctx, agateops.ChangeRequest{
+		Change:   fmt.Sprintf("demo-change-%d", cur.Revision+1),
+		Base:     cur.Revision,
+		Document: cur.Document,
+	})
+	if err != nil {
+		return fmt.Errorf("agatedemo: change: %w", err)
+	}
+	return s.awaitRevision(ctx, rev.Revision)
+}
+
 // StopEntry stops one entry host as planned.
 func (s *System) StopEntry(ctx context.Context, n int) error {
 	e := s.Entries[n]
--- a/io/agateentry/exchange.go
+++ b/io/agateentry/exchange.go
@@ -80,10 +80,23 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, p := range x.peers {
-		select {
-		case p.wake <- struct{}{}:
-		default: // one is due already
-		}
+		p.kick()
+	}
+}
+
+// kickHost makes the exchange with one peer due now.
+func (x *exchange) kickHost(host string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if p := x.peers[host]; p != nil {
+		p.kick()
+	}
+}
+
+func (p *exchangePeer) kick() {
+	select {
+	case p.wake <- struct{}{}:
+	default: // one is due already
 	}
 }
 
@@ -165,6 +178,14 @@
 	e *Entry
 }
 
+// Notify makes a heartbeat due when the leader has a newer revision.
+func (s *peerService) Notify(_ context.Context, ask *agatewire.NotifyAsk) (*agatewire.NotifyReply, error) {
+	if ask.Sender.GetRevision() > s.e.config.Load().revision {
+		s.e.beats.kick()
+	}
+	return &agatewire.NotifyReply{Sender: s.e.identity()}, nil
+}
+
 // Exchange takes what a peer tells.
 func (s *peerService) Exchange(_ context.Context, ask *agatewire.ExchangeAsk) (*agatewire.ExchangeReply, error) {
 	e := s.e
@@ -191,9 +212,14 @@
 		Draining: e.draining.Load(),
 		Load:     e.load(),
 	}
-	if cur := e.config.Load(); cur.revision > ask.Sender.GetRevision() {
+	cur := e.config.Load()
+	switch theirs := ask.Sender.GetRevision(); {
+	case cur.revision > theirs:
 		reply.Document = cur.document
 		reply.Sender.Revision = cur.revision
+	case cur.revision < theirs:
+		// The peer answers this host's next exchange with its document.
+		e.exchange.kickHost(ask.Sender.GetHost())
 	}
 	return reply, nil
 }
