--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -45,6 +45,10 @@
 	// tried like the others.
 	slowForget = 2 * time.Second
 
+	// firstTravel stands in for the way to another region and back before the
+	// first answer from there.
+	firstTravel = 40 * time.Millisecond
+
 	// firstExpected stands in for the latency before the first answer.
 	firstExpected = 5 * time.Millisecond
 )
@@ -155,7 +159,16 @@
 		return false
 	}
 	g := t.idlest(now, s, r.Region, -1)
-	return g != nil && g.latency.whole.n > 0 && home.wait(now, r.Class)+home.usual() > g.usual()
+	return g != nil && home.wait(now, r.Class)+home.usual() > g.remote(home)
+}
+
+// remote is the usual answer time of another region, travel included. Before
+// the first answer it is a guess, or a host without any would never ask.
+func (g *group) remote(home *group) time.Duration {
+	if g.latency.whole.n == 0 {
+		return home.usual() + firstTravel
+	}
+	return g.usual()
 }
 
 // send turns a comparison into a decision, if it found an upstream that can
