agateentry: look-ups by nearness, health and drains; home region of callers

Cause: look-ups named all hosts in the order of the inventory, and a request counted for the region of its entry host, so a lost region's callers would have left their region without a rule. Change: answers come from core/agatelookup with a view renewed every 100 ms; the home region of a request is that of its caller's client block; a planned stop waits until every peer has learned of it and then for the longest lifetime of an answer. Conclusion: traffic leaves its region only by rule, whatever host its callers reach.

--- a/io/agatedemo/demo.go
+++ b/io/agatedemo/demo.go
@@ -131,14 +131,16 @@
 
 // drain takes one upstream out of use under load.
 func (d *demo) drain(ctx context.Context) error {
-	id := d.s.Upstreams[0].cfg.ID
+	u := d.s.Upstreams[0]
+	id := u.cfg.ID
+	loaded := time.Now()
 	load, stop := context.WithCancel(ctx)
 	done := make(chan error, 1)
 	go func() {
 		_, err := d.s.Load(load, LoadConfig{Service: "quotes", Path: "/quotes/7", Requests: 1 << 20, Workers: 4})
 		done <- err
 	}()
-	if err := sleep(ctx, 300*time.Millisecond); err != nil {
+	if err := d.s.until(ctx, "work at "+id, func() error { return newer(u.Last(), loaded) }); err != nil {
 		stop()
 		return err
 	}
@@ -152,11 +154,21 @@
 	if err != nil {
 		return err
 	}
-	last := max(0, d.s.Upstreams[0].Last().Sub(begun))
+	last := max(0, u.Last().Sub(begun))
 	d.check(last < drainLimit, "last new work at %s came %v after its drain was ordered", id, last.Round(time.Millisecond))
 	return nil
 }
 
+var errIdle = errors.New("agatedemo: no work yet")
+
+// newer returns an error unless a request began after a time.
+func newer(last, after time.Time) error {
+	if last.After(after) {
+		return nil
+	}
+	return errIdle
+}
+
 // stop stops one entry host as planned while it serves.
 func (d *demo) stop(ctx context.Context) error {
 	load, cancel := context.WithCancel(ctx)
--- a/io/agateentry/call.go
+++ b/io/agateentry/call.go
@@ -51,6 +51,7 @@
 	service  string
 	method   string
 	path     string // with the query
+	home     string // region of the caller
 	key      string
 	header   http.Header
 	body     []byte
@@ -144,6 +145,7 @@
 		service:  name,
 		method:   r.Method,
 		path:     path,
+		home:     e.lookup.homeOf(r.RemoteAddr),
 		key:      r.Header.Get(headerKey),
 		header:   r.Header,
 		body:     body,
@@ -185,7 +187,7 @@
 
 // request is what the table needs to know about a call.
 func (cl *call) request() agateroute.Request {
-	return agateroute.Request{ID: cl.id, Service: cl.service, Class: cl.class, Deadline: cl.deadline}
+	return agateroute.Request{ID: cl.id, Service: cl.service, Region: cl.home, Class: cl.class, Deadline: cl.deadline}
 }
 
 // writeReply writes the final answer with what became of the request.
--- a/io/agateentry/configure.go
+++ b/io/agateentry/configure.go
@@ -39,7 +39,7 @@
 	e.config.Store(&configured{revision: revision, document: document, change: change, since: time.Now()})
 	e.metrics.revision(revision)
 	e.log.Info("configuration in force", "kind", "placement", "choice", revision, "reason", from, "change", change)
-	e.configuredLookup(inv)
+	e.lookup.configured(inv)
 	e.exchange.configured(inv)
 	e.exchange.kick()
 	e.beats.kick()
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -153,6 +153,7 @@
 	e.duties.Go(func() { e.becomeReady(e.ctx) })
 	e.duties.Go(func() { e.beats.run(e.ctx) })
 	e.duties.Go(func() { e.observe(e.ctx) })
+	e.duties.Go(func() { e.lookup.run(e.ctx) })
 	return e, nil
 }
 
@@ -235,6 +236,8 @@
 	e.log.Info("planned stop", "kind", "drain", "choice", e.cfg.Settings.Name, "reason", "stop")
 	e.exchange.kick()
 	e.beats.kick()
+	e.lookup.kick()
+	e.exchange.awaitTold(ctx, begun)
 	select {
 	case <-ctx.Done():
 	case <-time.After(e.lookup.longest()):
--- a/io/agateentry/exchange.go
+++ b/io/agateentry/exchange.go
@@ -4,9 +4,11 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"agategate/core/agateinventory"
+	"agategate/core/agatelookup"
 	"agategate/core/agateroute"
 	"agategate/io/agatewire"
 )
@@ -39,6 +41,9 @@
 	// table that it has.
 	epoch uint64
 	acked uint64
+	// told is when the last exchange that the peer answered began, in Unix
+	// nanoseconds.
+	told atomic.Int64
 }
 
 func newExchange(ctx context.Context, e *Entry) *exchange {
@@ -116,6 +121,7 @@
 
 // once tells the peer what is new here.
 func (x *exchange) once(ctx context.Context, p *exchangePeer) {
+	begun := time.Now()
 	ask, ok := x.ask(p)
 	if !ok {
 		return
@@ -141,12 +147,41 @@
 		return
 	}
 	p.acked = ask.Version
+	p.told.Store(begun.UnixNano())
 	x.e.directory.heardPeer(time.Now(), reply.Sender, reply.Draining, reply.Load)
 	if len(reply.Document) > 0 {
 		x.e.install(reply.Sender.Revision, reply.Document, "", p.host)
 	}
 }
 
+// awaitTold waits until every peer has answered an exchange that began after
+// a time. It gives up on the others when they leave this host out of their
+// look-ups because they do not hear from it.
+func (x *exchange) awaitTold(ctx context.Context, since time.Time) {
+	limit := time.NewTimer(agatelookup.DefaultSilence + exchangeTime)
+	defer limit.Stop()
+	for !x.toldAll(since) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit.C:
+			return
+		case <-time.After(exchangeEvery / 10):
+		}
+	}
+}
+
+func (x *exchange) toldAll(since time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, p := range x.peers {
+		if p.told.Load() < since.UnixNano() {
+			return false
+		}
+	}
+	return true
+}
+
 func (x *exchange) ask(p *exchangePeer) (*agatewire.ExchangeAsk, bool) {
 	e := x.e
 	var out agateroute.Exchange
--- a/io/agateentry/lookup.go
+++ b/io/agateentry/lookup.go
@@ -1,28 +1,141 @@
 package agateentry
 
 import (
+	"context"
 	"net/http"
+	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"agategate/core/agateinventory"
+	"agategate/core/agatelookup"
+	"agategate/io/agatelog"
 )
 
-const lifetime = 2 * time.Second
+// viewEvery is how often the view of entry hosts is made anew. It bounds how
+// long an answer lags behind what exchanges have told.
+const viewEvery = 100 * time.Millisecond
 
-// lookup answers which entry hosts a caller should use.
+// lookup is the duty that keeps the view from which look-ups are answered.
 type lookup struct {
-	e *Entry
+	e     *Entry
+	view  atomic.Pointer[agatelookup.View]
+	index atomic.Pointer[agatelookup.Index]
+	wake  chan struct{}
+	// state and changed are the last state of the hosts and since when it is
+	// the same. The duty's goroutine owns them.
+	state   string
+	changed time.Time
 }
 
-func newLookup(e *Entry) *lookup { return &lookup{e: e} }
+func newLookup(e *Entry) *lookup {
+	l := &lookup{e: e, wake: make(chan struct{}, 1)}
+	l.view.Store(&agatelookup.View{})
+	l.index.Store(agatelookup.NewIndex(nil))
+	return l
+}
+
+// longest is the longest time for which callers cache an answer.
+func (l *lookup) longest() time.Duration { return agatelookup.DefaultLifetime }
+
+// configured takes the client blocks of a new inventory.
+func (l *lookup) configured(inv *agateinventory.Inventory) {
+	l.index.Store(agatelookup.NewIndex(inv.Blocks))
+	l.kick()
+}
+
+// kick makes a new view due.
+func (l *lookup) kick() {
+	select {
+	case l.wake <- struct{}{}:
+	default: // one is due already
+	}
+}
+
+func (l *lookup) run(ctx context.Context) {
+	tick := time.NewTicker(viewEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-l.wake:
+		}
+		l.renew(time.Now())
+	}
+}
 
-func (l *lookup) longest() time.Duration { return lifetime }
+// renew makes the view from what is known now. Hosts are taken as equally
+// strong: their load moves no callers to another region, because traffic
+// leaves its region only by rule and within its cap.
+func (l *lookup) renew(now time.Time) {
+	inv := l.e.inventory.Load()
+	hosts := make([]agatelookup.Host, 0, len(inv.Hosts))
+	state := make([]byte, 0, 2*len(inv.Hosts))
+	for i := range inv.Hosts {
+		h := l.host(now, &inv.Hosts[i])
+		hosts = append(hosts, h)
+		state = append(state, flag(h.Draining), flag(now.Sub(h.Heard) > agatelookup.DefaultSilence))
+	}
+	state = strconv.AppendUint(state, l.e.Revision(), 10)
+	if string(state) != l.state {
+		l.state = string(state)
+		l.changed = now
+	}
+	view := agatelookup.NewView(agatelookup.Config{
+		Now:     now,
+		Index:   l.index.Load(),
+		Hosts:   hosts,
+		Drains:  inv.Drains,
+		Changed: l.changed,
+	})
+	l.view.Store(&view)
+}
 
-func (e *Entry) configuredLookup(*agateinventory.Inventory) {}
+func flag(on bool) byte {
+	if on {
+		return '1'
+	}
+	return '0'
+}
 
+// host returns what is known about an entry host. This host's own exchanges
+// go before what the control group tells, which notices a death later.
+func (l *lookup) host(now time.Time, h *agateinventory.Host) agatelookup.Host {
+	out := agatelookup.Host{Name: h.Name, Region: h.Region, Domain: h.Domain, Caller: h.Caller}
+	if h.Name == l.e.cfg.Settings.Name {
+		out.Heard = now
+		out.Draining = l.e.draining.Load()
+		return out
+	}
+	row, ok := l.e.directory.get(h.Name)
+	if !ok {
+		return out
+	}
+	out.Draining = row.draining
+	out.Heard = row.heard
+	if !row.direct.IsZero() {
+		out.Heard = row.direct
+	}
+	return out
+}
+
+// homeOf returns the region of a caller: that of its client block, or the
+// region of this host when no block contains the address.
+func (l *lookup) homeOf(remote string) string {
+	if addr, err := netip.ParseAddrPort(remote); err == nil {
+		if region, ok := l.index.Load().Region(addr.Addr().Unmap()); ok {
+			return region
+		}
+	}
+	return l.e.cfg.Settings.Region
+}
+
+// wireHost is one entry host of a look-up's answer.
 type wireHost struct {
 	Host   string `json:"host"`
 	Region string `json:"region"`
@@ -30,23 +143,59 @@
 	Caller string `json:"caller"`
 }
 
+// wireLookup is the answer to a look-up. Lifetime is in milliseconds.
 type wireLookup struct {
-	Hosts []wireHost `json:"hosts"`
+	Hosts    []wireHost `json:"hosts"`
+	Region   string     `json:"region,omitempty"`
+	Reason   string     `json:"reason"`
+	Lifetime int64      `json:"lifetime"`
 }
 
+// handleLookup serves GET /v1/lookup.
 func (e *Entry) handleLookup(c echo.Context) error {
-	inv := e.inventory.Load()
-	if inv.Service(c.QueryParam("service")) == nil {
+	begun := time.Now()
+	service := c.QueryParam("service")
+	if e.inventory.Load().Service(service) == nil {
 		return c.JSON(http.StatusNotFound, wireError{Error: "look-up: no such service"})
 	}
-	var out wireLookup
-	for _, h := range inv.Hosts {
-		row, ok := e.directory.get(h.Name)
-		if (h.Name == e.cfg.Settings.Name && e.draining.Load()) || (ok && row.draining) {
-			continue
-		}
+	client, err := clientOf(c)
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, wireError{Error: "look-up: client must be an IP number"})
+	}
+	answer := agatelookup.Choose(agatelookup.Query{Client: client}, *e.lookup.view.Load())
+	e.metrics.lookup(service)
+	e.logLookup(service, answer, begun)
+	if len(answer.Hosts) == 0 {
+		c.Response().Header().Set("Retry-After", "1")
+		return c.JSON(http.StatusServiceUnavailable, wireError{Error: "look-up: no entry hosts are known"})
+	}
+	// max-age has whole seconds, and a shorter lifetime may not be made longer.
+	age := int64(answer.Lifetime / time.Second)
+	c.Response().Header().Set("Cache-Control", "max-age="+strconv.FormatInt(age, 10))
+	out := wireLookup{Region: answer.Region, Reason: answer.Reason, Lifetime: answer.Lifetime.Milliseconds()}
+	for _, h := range answer.Hosts {
 		out.Hosts = append(out.Hosts, wireHost{Host: h.Name, Region: h.Region, Domain: h.Domain, Caller: h.Caller.String()})
 	}
-	c.Response().Header().Set("Cache-Control", "max-age="+strconv.Itoa(int(lifetime.Seconds())))
 	return c.JSON(http.StatusOK, out)
 }
+
+// clientOf returns the address that the query names, or else the caller's.
+func clientOf(c echo.Context) (netip.Addr, error) {
+	if text := c.QueryParam("client"); text != "" {
+		return netip.ParseAddr(text)
+	}
+	addr, err := netip.ParseAddrPort(c.Request().RemoteAddr)
+	return addr.Addr().Unmap(), err
+}
+
+func (e *Entry) logLookup(service string, a agatelookup.Answer, begun time.Time) {
+	d := agatelog.Decision{Service: service, Kind: agatelog.Lookup, Reason: a.Reason, Outcome: agatelog.Refused, Took: time.Since(begun)}
+	for _, h := range a.Hosts {
+		d.Considered = append(d.Considered, agatelog.Candidate{Name: h.Name})
+	}
+	if len(a.Hosts) > 0 {
+		d.Choice = a.Hosts[0].Name
+		d.Outcome = agatelog.Named
+	}
+	e.cfg.Log.Record(&d)
+}
--- a/io/agateentry/measure.go
+++ b/io/agateentry/measure.go
@@ -70,6 +70,10 @@
 	}
 }
 
+func (m *metrics) lookup(service string) {
+	m.set.Counter(agatemetrics.Lookups, service).Add(1)
+}
+
 func (m *metrics) drained(kind string, took time.Duration) {
 	m.set.Histogram(agatemetrics.Drain, kind).Record(took)
 }
--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -160,7 +160,7 @@
 	return agateroute.Observation{
 		Outcome:    routeOutcome(r),
 		Class:      cl.class,
-		Home:       e.cfg.Settings.Region,
+		Home:       cl.home,
 		Latency:    r.Elapsed,
 		RetryAfter: r.RetryAfter,
 		Alone:      alone,
--- a/io/agateentry/shift.go
+++ b/io/agateentry/shift.go
@@ -38,9 +38,12 @@
 	kicked time.Time
 }
 
-// lane is a service's traffic to another region.
+// lane is a service's traffic from one region to another. From is the
+// callers' region, which is not this host's when their own entry hosts are
+// gone.
 type lane struct {
 	service string
+	from    string
 	to      string
 }
 
@@ -63,10 +66,7 @@
 // take reports whether one request may leave its region now. The routing duty
 // asks right before it sends the request.
 func (s *shift) take(now time.Time, service, from, to string) bool {
-	if from != s.e.cfg.Settings.Region {
-		return false
-	}
-	size := s.want(now, lane{service, to})
+	size := s.want(now, lane{service, from, to})
 	if s.holder.Take(now, service, from, to, size) {
 		s.e.metrics.shifted(service, from, to)
 		return true
@@ -126,7 +126,7 @@
 			continue
 		}
 		rate := max(askLeast, n.rate*askMargin)
-		a := s.holder.Ask(now, l.service, s.e.cfg.Settings.Region, l.to, rate, rate*s.size(l.service))
+		a := s.holder.Ask(now, l.service, l.from, l.to, rate, rate*s.size(l.service))
 		out = append(out, &agatewire.GrantAsk{
 			Id:       a.ID,
 			Service:  a.Service,
