--- a/core/agateshift/grants_test.go
+++ b/core/agateshift/grants_test.go
@@ -89,7 +89,8 @@
 			s.report(k)
 		}
 		h := s.holder(f[1])
-		h.Accept(s.now, s.granter.Grant(s.now, h.Ask(s.now, "shift", f[2], f[3], s.num(f[4]), s.num(f[5]))))
+		late, _ := time.ParseDuration(append(f, "0s")[6])
+		h.Accept(s.now.Add(late), s.granter.Grant(s.now, h.Ask(s.now, "shift", f[2], f[3], s.num(f[4]), s.num(f[5]))))
 	case "restart":
 		delete(s.holders, f[1])
 	case "take":
@@ -195,3 +196,69 @@
 	}
 	assert.Equal(s.t, strconv.Itoa(n), f[7], s.at)
 }
+
+// Guards against grants in use that the granter does not count: those of
+// another process, of a deposed granter, and those that arrive late or twice.
+func TestAccept(t *testing.T) {
+	h := NewHolder(HolderConfig{Host: "a1", Epoch: 7})
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var asks []Ask
+	for range 5 {
+		asks = append(asks, h.Ask(at(0), "s", "a", "c", 100, 1e6))
+	}
+	grant := func(i int, rate float64) Grant {
+		return Grant{
+			Term: 3, Host: "a1", Epoch: 7, Ask: asks[i].ID, Service: "s", From: "a", To: "c",
+			Requests: rate, Bytes: 1e6, Duration: 2 * time.Second,
+		}
+	}
+	accept := func(ms int, g Grant) float64 {
+		h.Accept(at(ms), g)
+		rate, _, _ := h.Left(at(ms), "s", "a", "c")
+		return rate
+	}
+	other := grant(0, 10)
+	other.Host = "a2"
+	assert.Equal(t, accept(10, other), 0.0, "another host")
+	other = grant(0, 10)
+	other.Epoch = 6
+	assert.Equal(t, accept(10, other), 0.0, "another process")
+	other = grant(0, 10)
+	other.To = "b"
+	assert.Equal(t, accept(10, other), 0.0, "another region")
+	assert.Equal(t, accept(10, grant(2, 20)), 20.0)
+	assert.Equal(t, accept(10, grant(1, 30)), 20.0, "an earlier ask")
+	assert.Equal(t, accept(10, grant(2, 40)), 20.0, "the same ask again")
+	other = grant(4, 50)
+	other.Ask = 99
+	assert.Equal(t, accept(10, other), 20.0, "an unknown ask")
+	other = grant(4, 50)
+	other.Term = 2
+	assert.Equal(t, accept(10, other), 20.0, "a deposed granter")
+	assert.Equal(t, accept(20, grant(3, 60)), 60.0)
+	assert.Equal(t, accept(1900, grant(4, 70)), 0.0, "an ended grant")
+	for range 2 * maxPending {
+		h.Ask(at(2000), "s", "a", "c", 1, 1)
+	}
+	assert.Equal(t, len(h.lanes[laneKey{"s", "a", "c"}].pending), maxPending)
+}
+
+// BenchmarkGrant measures one ask with many hosts that ask.
+func BenchmarkGrant(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		inv := &agateinventory.Inventory{Shifts: []agateinventory.Shift{{Service: "s", From: "a", To: "c", Requests: 1e5, Allow: true}}}
+		for i := range n {
+			inv.Hosts = append(inv.Hosts, agateinventory.Host{Name: fmt.Sprint("a", i), Region: "a"}, agateinventory.Host{Name: fmt.Sprint("c", i), Region: "c"})
+		}
+		g := NewGranter(Config{Now: start})
+		g.Configure(start, inv)
+		now := start.Add(4 * time.Second)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(500 * time.Millisecond / time.Duration(n))
+				g.Report(now, fmt.Sprint("c", i%n), []Demand{{"s", "c", 1e6, 10, 0}})
+				g.Grant(now, Ask{Host: fmt.Sprint("a", i%n), ID: uint64(i), Service: "s", From: "a", To: "c", Requests: 500, Bytes: 1000})
+			}
+		})
+	}
+}
