--- a/core/agateshift/holder.go
+++ b/core/agateshift/holder.go
@@ -36,10 +36,9 @@
 
 // held is what a Holder has for one service and pair of regions.
 type held struct {
-	// pending holds when each unanswered ask was made.
+	// pending holds when each ask was made that is newer than the last one
+	// that was answered.
 	pending map[uint64]time.Time
-	// last is the highest ask that was answered.
-	last uint64
 	// ends is when the grant ends, by this host's clock.
 	ends     time.Time
 	requests bucket
@@ -86,7 +85,7 @@
 		return
 	}
 	asked, open := l.pending[g.Ask]
-	if !open || g.Ask <= l.last {
+	if !open {
 		return
 	}
 	h.term = g.Term
@@ -99,7 +98,6 @@
 			delete(l.pending, id)
 		}
 	}
-	l.last = g.Ask
 	if !now.Before(l.ends) {
 		l.requests, l.bytes = bucket{}, bucket{}
 	}
