--- a/io/agatecli/cli_test.go
+++ b/io/agatecli/cli_test.go
@@ -172,23 +172,39 @@
 	write("info", "entry-1")
 	signals := make(chan os.Signal)
 	settings := make(chan agatesettings.Entry)
-	var stderr strings.Builder
+	stderr := make(lineWriter, 10)
 	code := agatecli.Run(t.Context(), agatecli.Config{
 		Reload:      signals,
 		ReloadEntry: func(s agatesettings.Entry) { settings <- s },
-		Stderr:      &stderr,
+		Stderr:      stderr,
 		Entry: func(_ context.Context, s agatesettings.Entry) error {
 			assert.Check(t, s.Log.Level == "info")
+			stderr.await(t, "connections are in plain text")
 			write("loud", "entry-1")
 			signals <- os.Interrupt
+			stderr.await(t, "settings stay as they are")
 			write("debug", "entry-2")
 			signals <- os.Interrupt
+			stderr.await(t, "settings read again: applied=log.level restart=name")
 			s = <-settings
 			assert.Check(t, s.Log.Level == "debug" && s.Name == "entry-1")
 			return nil
 		},
 	}, []string{"entry", "--settings", file})
 	assert.Equal(t, code, agatecli.ExitOK)
-	assert.Assert(t, strings.Contains(stderr.String(), "settings stay as they are"))
-	assert.Assert(t, strings.Contains(stderr.String(), "settings read again: applied=log.level restart=name"))
+}
+
+// lineWriter hands each line of a log to the test. The test must not write the
+// next settings before the process has read the last ones.
+type lineWriter chan string
+
+func (w lineWriter) Write(line []byte) (int, error) {
+	w <- string(line)
+	return len(line), nil
+}
+
+func (w lineWriter) await(t *testing.T, text string) {
+	t.Helper()
+	line := <-w
+	assert.Check(t, strings.Contains(line, text), line)
 }
--- a/io/agatecli/tls_test.go
+++ b/io/agatecli/tls_test.go
@@ -7,6 +7,8 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"io"
+	"log"
 	"math/big"
 	"net"
 	"net/http"
@@ -83,7 +85,7 @@
 	assert.NilError(t, err)
 	srv := httptest.NewUnstartedServer(agateops.New((&control{}).config()))
 	srv.TLS = cfg
-	srv.Config.ErrorLog = nil
+	srv.Config.ErrorLog = log.New(io.Discard, "", 0)
 	srv.StartTLS()
 	defer srv.Close()
 
--- a/io/agateops/drain.go
+++ b/io/agateops/drain.go
@@ -22,15 +22,20 @@
 	Change string `json:"change"`
 }
 
+// drainBody tells a share of 0, which is refused, from none.
+type drainBody struct {
+	Kind   agateinventory.DrainKind `json:"kind"`
+	Name   string                   `json:"name"`
+	Share  *float64                 `json:"share"`
+	Change string                   `json:"change"`
+}
+
 // maxAttempts bounds the compare-and-set attempts of one drain.
 const maxAttempts = 8
 
 func (h *handler) postDrain(c echo.Context) error {
 	return h.drain(c, func(doc []byte, r DrainRequest) ([]byte, agateinventory.Problems) {
 		d := agateinventory.Drain{Kind: r.Kind, Name: r.Name, Share: r.Share}
-		if d.Share == 0 {
-			d.Share = 1
-		}
 		return agateinventory.SetDrain(documentName, doc, d)
 	})
 }
@@ -48,10 +53,17 @@
 		return tooBusy(c)
 	}
 	defer h.end()
-	var r DrainRequest
-	if err := h.decode(c, &r); err != nil {
+	var body drainBody
+	if err := h.decode(c, &body); err != nil {
 		return badBody(c, err)
 	}
+	r := DrainRequest{Kind: body.Kind, Name: body.Name, Share: 1, Change: body.Change}
+	if body.Share != nil {
+		r.Share = *body.Share
+	}
+	if !(r.Share > 0 && r.Share <= 1) {
+		return fail(c, http.StatusBadRequest, "share must be above 0 and at most 1")
+	}
 	if !isChange(r.Change) || len(r.Change) > maxChange-3 {
 		return fail(c, http.StatusBadRequest, "change must have 1 to 61 letters, digits, \"-\", \"_\" or \".\"")
 	}
