--- a/io/agateops/status.go
+++ b/io/agateops/status.go
@@ -120,7 +120,10 @@
 	if r.Outcome != Done {
 		return send(c, r.Reply, errorBody{})
 	}
-	return c.JSON(http.StatusOK, r.Status)
+	s := r.Status
+	s.Members, s.Hosts, s.Upstreams = orEmpty(s.Members), orEmpty(s.Hosts), orEmpty(s.Upstreams)
+	s.Grants, s.Drains = orEmpty(s.Grants), orEmpty(s.Drains)
+	return c.JSON(http.StatusOK, s)
 }
 
 func (h *handler) getExplain(c echo.Context) error {
@@ -133,7 +136,15 @@
 	if len(r.Hosts) == 0 && len(r.Missing) == 0 {
 		return fail(c, http.StatusNotFound, "no entry host keeps a decision on this request")
 	}
-	return c.JSON(http.StatusOK, explanation{Hosts: r.Hosts, Missing: r.Missing})
+	return c.JSON(http.StatusOK, explanation{Hosts: orEmpty(r.Hosts), Missing: orEmpty(r.Missing)})
+}
+
+// orEmpty makes a list that is not set an empty JSON list instead of null.
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
 }
 
 // MemberAction is a change of the control group's members.
@@ -184,7 +195,7 @@
 	if result.Outcome != Done {
 		return send(c, result.Reply, errorBody{})
 	}
-	return c.JSON(http.StatusOK, membersBody{Members: result.Members})
+	return c.JSON(http.StatusOK, membersBody{Members: orEmpty(result.Members)})
 }
 
 // decode reads a small JSON body strictly.
