test: runs at the same time use addresses of their own

Cause: two runs of the process scenarios on one machine reached each other's hosts; a change of one deployment was applied by the other.

--- a/test/system_test.go
+++ b/test/system_test.go
@@ -141,12 +141,14 @@
 // must not reach each other's hosts.
 var deployments atomic.Uint32
 
-// addresses returns one loopback address for each host of a script.
+// addresses returns one loopback address for each host of a script. The
+// second byte keeps runs at the same time apart.
 func addresses(n int) []netip.Addr {
 	d := deployments.Add(1)
+	run := byte(100 + os.Getpid()%150)
 	out := make([]netip.Addr, 0, n)
 	for i := range n {
-		out = append(out, netip.AddrFrom4([4]byte{127, byte(100 + d/200), byte(1 + d%200), byte(1 + i)}))
+		out = append(out, netip.AddrFrom4([4]byte{127, run, byte(1 + d%250), byte(1 + i)}))
 	}
 	return out
 }
