--- a/core/agateaction/action.go
+++ b/core/agateaction/action.go
@@ -50,8 +50,8 @@
 	Epoch   uint64
 	// Token is random and used for this Action only.
 	Token agatestate.Token
-	// Seen is the highest applied log index that the host knew when the
-	// request arrived.
+	// Seen is the log index that counted as seen when the request arrived.
+	// See Seen.At.
 	Seen uint64
 	// Deadline is the caller's time left at the arrival.
 	Deadline time.Duration
@@ -108,7 +108,9 @@
 	// absolute.
 	patience time.Duration
 	giveUp   time.Duration
-	replied  bool
+	// sent is when the last command was handed out.
+	sent    time.Duration
+	replied bool
 	// refusal is the reply once "not run" is committed.
 	refusal Reply
 	answer  *agatestate.Answer
@@ -201,7 +203,7 @@
 		a.phase = finishing
 		a.answer = t.Answer
 		a.giveUp = now + a.cfg.Record
-		return append(a.reply(run(t.Answer)), a.finish(0))
+		return append(a.reply(run(t.Answer)), a.finish(now, 0))
 	default:
 		a.phase = ended
 		return a.reply(unknownNow())
--- a/core/agateaction/control.go
+++ b/core/agateaction/control.go
@@ -14,7 +14,7 @@
 	case k == SendClaim && a.phase == claiming:
 		return a.claimed(now, r)
 	case k == SendRelease && a.phase == releasing, k == SendRefuse && a.phase == refusing:
-		return a.refused(r)
+		return a.refused(now, r)
 	case k == SendFinish && a.phase == finishing:
 		a.phase = ended
 	}
@@ -23,6 +23,9 @@
 
 // claimed goes on after the claim. Only Granted lets the action run here.
 func (a *Action) claimed(now time.Duration, r agatestate.Result) []Command {
+	if r.Verdict.NotRun() && now-a.sent >= Fresh {
+		return a.refuse(now, Refusal{})
+	}
 	if r.Verdict != agatestate.Granted {
 		a.phase = ended
 		return a.reply(replyTo(r))
@@ -36,7 +39,10 @@
 
 // refused ends the action after its Release or Refuse. Unless that is
 // committed, the record of another holder says what the caller is told.
-func (a *Action) refused(r agatestate.Result) []Command {
+func (a *Action) refused(now time.Duration, r agatestate.Result) []Command {
+	if r.Verdict.NotRun() && now-a.sent >= Fresh && !a.replied {
+		return a.again(now, 0)
+	}
 	a.phase = ended
 	if r.Verdict != agatestate.Refused {
 		return a.reply(replyTo(r))
@@ -54,21 +60,44 @@
 		return []Command{a.claim(now, a.cfg.Resend)}
 	case k == SendClaim && a.phase == claiming:
 		return a.release(now, Refusal{})
-	case k == SendRelease && a.phase == releasing && now < a.giveUp:
-		return []Command{a.releaseCommand(a.cfg.Resend)}
-	case k == SendRefuse && a.phase == refusing && now < a.giveUp:
-		return []Command{a.refuseCommand(a.cfg.Resend)}
-	case k == SendFinish && a.phase == finishing && now < a.giveUp:
-		return []Command{a.finish(a.cfg.Resend)}
-	case k == SendRelease && a.phase == releasing, k == SendRefuse && a.phase == refusing, k == SendFinish && a.phase == finishing:
+	case a.phase == kindPhase(k) && now < a.giveUp:
+		return a.again(now, a.cfg.Resend)
+	case a.phase == kindPhase(k):
 		a.phase = ended
 		return a.reply(unclear())
 	}
 	return nil
 }
 
+// kindPhase returns the phase in which the result of a command matters.
+func kindPhase(k Kind) phase {
+	switch k {
+	case SendClaim:
+		return claiming
+	case SendRelease:
+		return releasing
+	case SendRefuse:
+		return refusing
+	default:
+		return finishing
+	}
+}
+
+// again sends the last command again.
+func (a *Action) again(now, after time.Duration) []Command {
+	switch a.phase {
+	case releasing:
+		return []Command{a.releaseCommand(now, after)}
+	case refusing:
+		return []Command{a.refuseCommand(now, after)}
+	default:
+		return []Command{a.finish(now, after)}
+	}
+}
+
 // claim sends the claim with the time that is left.
 func (a *Action) claim(now, after time.Duration) Command {
+	a.sent = now
 	return Command{Kind: SendClaim, After: after, State: agatestate.Command{Claim: &agatestate.Claim{
 		Service:  a.cfg.Service,
 		Key:      a.cfg.Key,
@@ -86,10 +115,11 @@
 	a.phase = releasing
 	a.wait(now)
 	a.refusal = notRun(r)
-	return []Command{a.releaseCommand(0)}
+	return []Command{a.releaseCommand(now, 0)}
 }
 
-func (a *Action) releaseCommand(after time.Duration) Command {
+func (a *Action) releaseCommand(now, after time.Duration) Command {
+	a.sent = now
 	return Command{Kind: SendRelease, After: after, State: agatestate.Command{Release: &agatestate.Release{
 		Service: a.cfg.Service,
 		Key:     a.cfg.Key,
@@ -103,10 +133,11 @@
 	a.phase = refusing
 	a.wait(now)
 	a.refusal = notRun(r)
-	return []Command{a.refuseCommand(0)}
+	return []Command{a.refuseCommand(now, 0)}
 }
 
-func (a *Action) refuseCommand(after time.Duration) Command {
+func (a *Action) refuseCommand(now, after time.Duration) Command {
+	a.sent = now
 	return Command{Kind: SendRefuse, After: after, State: agatestate.Command{Refuse: &agatestate.Refuse{
 		Service: a.cfg.Service,
 		Key:     a.cfg.Key,
@@ -122,7 +153,8 @@
 }
 
 // finish records the upstream's answer.
-func (a *Action) finish(after time.Duration) Command {
+func (a *Action) finish(now, after time.Duration) Command {
+	a.sent = now
 	return Command{Kind: SendFinish, After: after, State: agatestate.Command{Finish: &agatestate.Finish{
 		Service: a.cfg.Service,
 		Key:     a.cfg.Key,
--- a/core/agateaction/fuzz_test.go
+++ b/core/agateaction/fuzz_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"agategate/core/agateaction"
 )
 
 // TestMain fixes the seed and the length of the fuzz test; flags override
@@ -24,9 +26,8 @@
 	os.Exit(m.Run())
 }
 
-// arrival is the longest way of a request from its caller to a host. It must
-// be shorter than the hold of a tombstone.
-const arrival = 500 * time.Millisecond
+// arrival is the longest way of a request from its caller to a host.
+const arrival = agateaction.SeenLag - agateaction.Fresh
 
 // pick draws one of the items that pass, or skips the step.
 func pick[T any](t *rapid.T, items []T, pass func(T) bool) T {
@@ -111,7 +112,7 @@
 		},
 		"beat": func(t *rapid.T) {
 			h := pick(t, s.hosts, alive)
-			h.seen = s.index
+			h.seen.Learn(s.now, s.index)
 		},
 		"sleep": func(t *rapid.T) {
 			ms := rapid.SampledFrom([]int{1, 20, 20, 150, 400, 1100, 3000, 70_000}).Draw(t, "ms")
--- a/core/agateaction/sim_test.go
+++ b/core/agateaction/sim_test.go
@@ -28,7 +28,7 @@
 
 type simHost struct {
 	name   string
-	seen   uint64
+	seen   agateaction.Seen
 	dead   bool
 	frozen bool
 }
@@ -95,7 +95,7 @@
 	r.deadline = s.now + 2*time.Second
 	r.a = agateaction.New(agateaction.Config{
 		Service: "s", Key: r.key, Payload: sha256.Sum256([]byte(r.payload)),
-		Holder: r.host.name, Token: r.token, Seen: r.host.seen, Deadline: 2 * time.Second,
+		Holder: r.host.name, Token: r.token, Seen: r.host.seen.At(s.now), Deadline: 2 * time.Second,
 	})
 	if admit {
 		s.do(r, r.a.Arrived(s.now))
@@ -140,7 +140,7 @@
 // answer lets the result of a call reach its host.
 func (s *sim) answer(c *call) {
 	c.open = false
-	c.r.host.seen = max(c.r.host.seen, c.result.Index)
+	c.r.host.seen.Learn(s.now, c.result.Index)
 	s.do(c.r, c.r.a.Answered(s.now, c.cmd.Kind, *c.result))
 }
 
@@ -203,7 +203,12 @@
 }
 
 func (s *sim) timers() {
-	for again := true; again; {
+	again := true
+	for n := 0; again; n++ {
+		if n > 100 {
+			s.broken("a timer does not end")
+			return
+		}
 		again = false
 		for _, r := range s.requests {
 			if r.a != nil && r.up() && r.a.Due() <= s.now {
@@ -297,7 +302,8 @@
 func (s *sim) kill(h *simHost) {
 	for i := range s.hosts {
 		if s.hosts[i] == h {
-			s.hosts[i] = &simHost{name: h.name, seen: s.index}
+			s.hosts[i] = &simHost{name: h.name}
+			s.hosts[i].seen.Learn(s.now, s.index)
 		}
 	}
 	h.dead = true
