--- a/core/agateroute/announce.go
+++ b/core/agateroute/announce.go
@@ -144,7 +144,6 @@
 // flight stay counted until they are finished.
 func (u *upstream) restart(a Announcement) {
 	u.latency = ewma{}
-	u.delay = ewma{}
 	if u.group != nil {
 		u.clearFailures()
 	}
--- a/core/agateroute/upstream.go
+++ b/core/agateroute/upstream.go
@@ -53,7 +53,6 @@
 	report  float64 // reported requests per slot
 
 	latency ewma // seconds per answer, corrected for queueing
-	delay   ewma // recent answers against the usual latency, in units of it
 	seen    time.Time
 
 	ramp       ramp
