agateroute: fail static lasts in silence and yields to own evidence

Fail static ended as soon as a service had no answers for one lease time, so a quiet service lost its upstreams; and it kept upstreams that fail by own evidence.

--- a/core/agateroute/tick.go
+++ b/core/agateroute/tick.go
@@ -44,12 +44,16 @@
 
 // checkLeases takes upstreams without a lease out of use, unless the
 // announcements themselves are at fault: more than half of the leases end
-// within one lease time while answers still arrive.
+// within one lease time while answers still arrive. An upstream that also
+// fails by own evidence is not kept by that.
 func (t *Table) checkLeases(now time.Time, s *service) {
 	lease := t.cfg.lease()
 	ended, total := 0, 0
 	for _, g := range s.order {
 		for _, u := range g.upstreams {
+			if u.failures >= failingFrom {
+				continue
+			}
 			silent := now.Sub(u.heard)
 			// A lease that ended more than one lease time ago is another fault,
 			// unless this one has lasted since then.
@@ -62,7 +66,8 @@
 		}
 	}
 	answering := !s.answered.IsZero() && now.Sub(s.answered) <= lease
-	t.setFault(s, 2*ended > total && answering)
+	// Once in force, a service without requests keeps its state too.
+	t.setFault(s, 2*ended > total && (answering || s.fault))
 	for _, g := range s.order {
 		t.lapse(now, g, lease)
 	}
@@ -87,7 +92,7 @@
 	for i := len(g.upstreams) - 1; i >= 0; i-- {
 		u := g.upstreams[i]
 		silent := now.Sub(u.heard)
-		lapsed := silent > lease && !g.service.fault
+		lapsed := silent > lease && (!g.service.fault || u.failures >= failingFrom)
 		u.lapsed = lapsed
 		u.ejected = u.eject.active(now)
 		g.recount(u)
