agateroute: utilisation from answers and service times

Change: entry hosts exchange answers per second and, for their own region, the service time; utilisation is their product over the slots. The travel time is taken off before an answer time is corrected for queueing.

--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -20,7 +20,6 @@
 	if u == nil {
 		return
 	}
-	u.group.note(now)
 	u.change(1, 0)
 }
 
@@ -31,7 +30,6 @@
 		return
 	}
 	held := t.load(now, u)
-	u.group.note(now)
 	u.change(-1, 0)
 	if o.Alone && u.alone > 0 {
 		u.alone--
@@ -62,13 +60,15 @@
 func (t *Table) answered(now time.Time, u *upstream, o Observation, held float64) {
 	g := u.group
 	g.service.answered = now
+	g.answers.add(now)
 	u.seen = now
 	u.clearFailures()
 	g.failures = 0
 	seconds := o.Latency.Seconds()
-	// An upstream with more requests than slots makes them queue, so the
-	// answer time of a request alone is shorter by that ratio.
-	alone := seconds * min(1, u.slots/max(held, 1))
+	// An upstream with more requests than slots makes them queue, so the time
+	// there of a request alone is shorter by that ratio.
+	travel := min(o.Travel.Seconds(), seconds)
+	alone := travel + (seconds-travel)*min(1, u.slots/max(held, 1))
 	intime := g.latency.normal.n == 0 || alone <= rampSlow*g.latency.normal.mean
 	u.latency.add(alone, upstreamWindow)
 	if u.ramp.warm {
--- a/core/agateroute/group.go
+++ b/core/agateroute/group.go
@@ -54,8 +54,11 @@
 	failures     int       // in a row, without an answer from any upstream
 	failed       int       // upstreams whose last request failed
 	probeAt      time.Time // when the next request may be sent while failing
-	used         utilisation
-	shift        ramp // overflow that comes in from other regions
+	answers      meter
+	peersAnswers float64       // per second, of the other entry hosts
+	localTime    time.Duration // sum of service times by entry hosts of the region
+	localHosts   int           // number of them
+	shift        ramp          // overflow that comes in from other regions
 	shiftOwn     int
 	shiftAt      time.Time
 }
@@ -212,29 +215,64 @@
 	return r.previous
 }
 
-// usedTime is the time over which the utilisation of a region is averaged.
-// Requests in flight vary by a third within one answer time, which says
-// nothing of the load.
-const usedTime = 500 * time.Millisecond
+// meterTime is the time over which answers are averaged. Requests in flight
+// vary by a third within one answer time, and include those that queue at
+// upstreams, so they say less of the utilisation.
+const meterTime = 500 * time.Millisecond
 
-// utilisation is the mean share of slots in use, weighted towards now.
-type utilisation struct {
+// meter measures events per second, weighted towards now.
+type meter struct {
 	at   time.Time
-	mean float64
+	rate float64
 }
 
-// note accounts for the time since the last note, during which n requests
-// were in flight at some slots.
-func (u *utilisation) note(now time.Time, n, slots float64) {
-	past := now.Sub(u.at)
-	u.at = now
-	if past <= 0 || slots <= 0 {
-		return
+// value is the rate per second.
+func (m *meter) value(now time.Time) float64 {
+	past := now.Sub(m.at)
+	if past > 0 {
+		m.rate *= math.Exp(-past.Seconds() / meterTime.Seconds())
+		m.at = now
+	}
+	return m.rate
+}
+
+// add counts one event.
+func (m *meter) add(now time.Time) {
+	m.rate = m.value(now) + 1/meterTime.Seconds()
+}
+
+// utilisation is the share of the slots of a group that all entry hosts keep
+// busy: answers per second times service time.
+func (t *Table) utilisation(now time.Time, g *group) float64 {
+	if g.slots <= 0 {
+		return 0
 	}
-	weight := 1 - math.Exp(-past.Seconds()/usedTime.Seconds())
-	u.mean += (min(1, n/slots) - u.mean) * weight
+	return (g.answers.value(now) + g.peersAnswers) * t.serviceTime(g) / g.slots
 }
 
-func (g *group) note(now time.Time) {
-	g.used.note(now, g.load(), g.slots)
+// serviceTime is the time in seconds that a request takes at an upstream of a
+// group. Entry hosts of that region measure it best, since most of the answer
+// time from another region is travel.
+func (t *Table) serviceTime(g *group) float64 {
+	own := t.measured(g)
+	sum, n := g.localTime+own, g.localHosts
+	if own > 0 {
+		n++
+	}
+	switch {
+	case n > 0:
+		return sum.Seconds() / float64(n)
+	case g.latency.normal.n > 0:
+		return g.latency.normal.mean * g.present
+	}
+	return t.homeNormal(g)
+}
+
+// measured is the service time of a group if this entry host is in its
+// region and has enough answers, or zero.
+func (t *Table) measured(g *group) time.Duration {
+	if g.region != t.cfg.Region || g.latency.normal.n < ratioEnough {
+		return 0
+	}
+	return time.Duration(g.latency.normal.mean * g.present * float64(time.Second))
 }
--- a/core/agateroute/overflow.go
+++ b/core/agateroute/overflow.go
@@ -33,7 +33,7 @@
 		if g == nil {
 			break
 		}
-		above = g.used.mean
+		above = t.utilisation(now, g)
 		if d, ok := t.shiftTo(now, g, r, hash); ok {
 			return d, true
 		}
@@ -50,9 +50,8 @@
 		if g.region == home || !g.takesShift(now) {
 			continue
 		}
-		g.note(now)
-		if g.used.mean < lowest && g.used.mean > above {
-			best, lowest = g, g.used.mean
+		if used := t.utilisation(now, g); used < lowest && used > above {
+			best, lowest = g, used
 		}
 	}
 	return best
--- a/core/agateroute/peers.go
+++ b/core/agateroute/peers.go
@@ -39,12 +39,17 @@
 	Present float64
 }
 
-// Backlog is the number of requests that wait at an entry host for a service
-// in a region.
-type Backlog struct {
-	Service string
-	Region  string
+// Traffic is what an entry host does for a service in a region.
+type Traffic struct {
+	Name   string // of the service
+	Region string
+	// Waiting is the number of requests in its queue.
 	Waiting int
+	// Answers is the number of answers that it gets per second.
+	Answers float64
+	// Service is the time that a request takes there, as measured by an entry
+	// host of the same region. Zero means unknown.
+	Service time.Duration
 }
 
 // presentStep is the unit of Count.Present. Multiples of it add up without
@@ -73,8 +78,9 @@
 	Announcements []Announcement
 	// InFlight are the sender's own requests per upstream, without zeros.
 	InFlight []Count
-	// Waiting are the requests in the sender's queues, without zeros.
-	Waiting []Backlog
+	// Traffic is what the sender does per service and region, where it does
+	// anything.
+	Traffic []Traffic
 	// Age is how old the counts were on arrival. Zero means now.
 	Age time.Duration
 }
@@ -84,7 +90,7 @@
 	epoch  uint64
 	at     time.Time
 	counts map[UpstreamID]float64
-	groups map[*group]int // its waiting requests
+	groups map[*group]Traffic
 }
 
 // Export returns what peers need to know: announcements newer than a version
@@ -105,8 +111,10 @@
 		}
 	}
 	for _, g := range t.groups {
-		if n := g.queue.len(); n > 0 {
-			x.Waiting = append(x.Waiting, Backlog{Service: g.service.name, Region: g.region, Waiting: n})
+		if n, answers := g.queue.len(), g.answers.value(now); n > 0 || answers > 0 {
+			x.Traffic = append(x.Traffic, Traffic{
+				Name: g.service.name, Region: g.region, Waiting: n, Answers: answers, Service: t.measured(g),
+			})
 		}
 	}
 	return x
@@ -124,18 +132,15 @@
 	at := now.Add(-max(0, x.Age))
 	p := t.peers[x.Host]
 	if p == nil {
-		p = &peer{counts: map[UpstreamID]float64{}, groups: map[*group]int{}}
+		p = &peer{counts: map[UpstreamID]float64{}, groups: map[*group]Traffic{}}
 		t.peers[x.Host] = p
 	}
 	if x.Epoch < p.epoch || (x.Epoch == p.epoch && at.Before(p.at)) {
 		return
 	}
-	for _, g := range t.groups {
-		g.note(now)
-	}
 	p.epoch, p.at = x.Epoch, at
 	t.replace(p, x.InFlight)
-	t.queues(p, x.Waiting)
+	t.traffic(p, x.Traffic)
 	t.averagePeers(now)
 }
 
@@ -162,19 +167,33 @@
 	}
 }
 
-// queues replaces the waiting requests of one peer.
-func (t *Table) queues(p *peer, waiting []Backlog) {
-	for g, n := range p.groups {
-		g.peersWaiting -= n
+// traffic replaces the traffic of one peer in all sums.
+func (t *Table) traffic(p *peer, reports []Traffic) {
+	for g, r := range p.groups {
+		g.peersWaiting -= r.Waiting
+		g.peersAnswers -= r.Answers
+		if r.Service > 0 {
+			g.localTime -= r.Service
+			g.localHosts--
+		}
 	}
 	clear(p.groups)
-	for _, b := range waiting {
-		s := t.services[b.Service]
-		if s == nil || s.groups[b.Region] == nil || b.Waiting < 1 {
+	for _, r := range reports {
+		s := t.services[r.Name]
+		if s == nil || s.groups[r.Region] == nil || r.Waiting < 0 || !(r.Answers >= 0) || r.Service < 0 {
 			continue
 		}
-		p.groups[s.groups[b.Region]] += b.Waiting
-		s.groups[b.Region].peersWaiting += b.Waiting
+		g := s.groups[r.Region]
+		if _, twice := p.groups[g]; twice {
+			continue
+		}
+		p.groups[g] = r
+		g.peersWaiting += r.Waiting
+		g.peersAnswers += r.Answers
+		if r.Service > 0 {
+			g.localTime += r.Service
+			g.localHosts++
+		}
 	}
 }
 
@@ -199,7 +218,7 @@
 		silent := now.Sub(p.at)
 		if silent > peerForget || (silent > peerSilent && !alone) {
 			t.replace(p, nil)
-			t.queues(p, nil)
+			t.traffic(p, nil)
 			delete(t.peers, host)
 		}
 	}
--- a/core/agateroute/script_test.go
+++ b/core/agateroute/script_test.go
@@ -334,6 +334,11 @@
 			x.InFlight = append(x.InFlight, Count{ID: UpstreamID(id), InFlight: count})
 		}
 	}
+	// Traffic is region:answers:service time.
+	if f := strings.Split(a.str("traffic", ""), ":"); len(f) == 3 {
+		answers, _ := strconv.ParseFloat(f[1], 64)
+		x.Traffic = []Traffic{{Name: "quotes", Region: f[0], Answers: answers, Service: mustDuration(f[2])}}
+	}
 	s.table.Merge(s.now, x)
 }
 
--- a/core/agateroute/simhost_test.go
+++ b/core/agateroute/simhost_test.go
@@ -326,8 +326,7 @@
 
 // mayShift holds baselines to the rules of the product for leaving a region.
 func (h *simHost) mayShift(r *simRequest, g *group) bool {
-	g.note(h.s.time())
-	return g.used.mean < h.table.target() && g.load() < g.slots &&
+	return h.table.utilisation(h.s.time(), g) < h.table.target() && g.load() < g.slots &&
 		h.s.grant(r.service, r.home, regionIndex(g.region))
 }
 
--- a/core/agateroute/simideal_test.go
+++ b/core/agateroute/simideal_test.go
@@ -1,6 +1,7 @@
 package agateroute
 
 import (
+	"math"
 	"time"
 
 	"agategate/core/agateinventory"
@@ -97,3 +98,22 @@
 	g.slots += n
 	s.idealNext(g)
 }
+
+// utilisation is the mean share of slots in use, weighted towards now like
+// the product's estimate.
+type utilisation struct {
+	at   time.Time
+	mean float64
+}
+
+// note accounts for the time since the last note, during which n requests
+// were in flight at some slots.
+func (u *utilisation) note(now time.Time, n, slots float64) {
+	past := now.Sub(u.at)
+	u.at = now
+	if past <= 0 || slots <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-past.Seconds()/meterTime.Seconds())
+	u.mean += (min(1, n/slots) - u.mean) * weight
+}
--- a/core/agateroute/usage.go
+++ b/core/agateroute/usage.go
@@ -45,10 +45,9 @@
 		Waiting:  g.queue.len(),
 		Demand:   g.demand.value(now),
 	}
-	if normal := g.latency.normal.mean; normal > 0 {
-		service := normal * g.present
+	if service := t.serviceTime(g); service > 0 {
 		u.Capacity = g.slots / service
-		u.Headroom = max(0, u.Capacity*t.target()-g.load()/service)
+		u.Headroom = max(0, u.Capacity*(t.target()-t.utilisation(now, g)))
 	}
 	return u
 }
