--- a/io/agateentry/action.go
+++ b/io/agateentry/action.go
@@ -3,64 +3,297 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
+	"io"
 	"net/http"
 	"time"
 
+	"agategate/core/agateaction"
 	"agategate/core/agateroute"
 	"agategate/core/agatestate"
+	"agategate/internal/agateclock"
 	"agategate/io/agateclient"
+	"agategate/io/agatelog"
 	"agategate/io/agateupstream"
 )
 
-// act runs a call that must not repeat.
+// actor carries out the commands of one agateaction.Action. One goroutine
+// owns the Action; calls to the control group and to upstreams run beside it
+// and come back as events.
+type actor struct {
+	e      *Entry
+	cl     *call
+	core   *agateaction.Action
+	events chan func(now time.Duration) []agateaction.Command
+	reply  chan reply
+	// done is closed when the actor takes no more events.
+	done chan struct{}
+	// open counts the calls beside the actor that will come back.
+	open int
+	// failure is an upstream's answer that does not prove whether the action
+	// ran.
+	failure *agateupstream.Reply
+	// cancel ends the attempt that runs.
+	cancel context.CancelFunc
+	// request collects the upstreams that were tried, last how the last
+	// attempt ended.
+	request agateroute.Request
+	last    agateroute.Observation
+	tried   bool
+}
+
+// act runs a call that must not repeat. The action goes on after the reply:
+// its answer is recorded, or still awaited when the deadline has passed.
 func (e *Entry) act(ctx context.Context, cl *call) reply {
-	ctx, cancel := context.WithDeadline(ctx, cl.deadline)
+	left := time.Until(cl.deadline)
+	a := &actor{
+		e:  e,
+		cl: cl,
+		core: agateaction.New(agateaction.Config{
+			Service:  cl.service,
+			Key:      cl.key,
+			Payload:  payloadOf(cl),
+			Holder:   e.cfg.Settings.Name,
+			Epoch:    e.epoch,
+			Token:    newToken(),
+			Seen:     cl.seen,
+			Deadline: left,
+			Grace:    e.cfg.Settings.Wait.Answer,
+			// Half of the time is left for the upstream.
+			Claim: left / 2,
+		}),
+		events:  make(chan func(now time.Duration) []agateaction.Command),
+		reply:   make(chan reply, 1),
+		done:    make(chan struct{}),
+		cancel:  func() {},
+		request: cl.request(),
+	}
+	e.records.Go(a.run)
+	select {
+	case rep := <-a.reply:
+		return rep
+	case <-ctx.Done():
+		a.post(a.core.CallerGone)
+		return refusal(http.StatusGatewayTimeout, outcomeUnknown, "caller-gone", 0)
+	}
+}
+
+// payloadOf is the hash of everything that makes a request another one.
+func payloadOf(cl *call) agatestate.Payload {
+	h := sha256.New()
+	for _, part := range []string{cl.method, cl.path, string(cl.body)} {
+		var size [8]byte
+		binary.LittleEndian.PutUint64(size[:], uint64(len(part)))
+		_, _ = h.Write(size[:]) // never fails
+		_, _ = io.WriteString(h, part)
+	}
+	return agatestate.Payload(h.Sum(nil))
+}
+
+// post hands an event to the actor's goroutine. It reports false when the
+// actor has ended or the process stops.
+func (a *actor) post(event func(now time.Duration) []agateaction.Command) bool {
+	select {
+	case a.events <- event:
+		return true
+	case <-a.done:
+		return false
+	case <-a.e.ctx.Done():
+		return false
+	}
+}
+
+// ended wraps the event with which a call beside the actor comes back.
+func (a *actor) ended(event func(now time.Duration) []agateaction.Command) {
+	a.post(func(now time.Duration) []agateaction.Command {
+		a.open--
+		return event(now)
+	})
+}
+
+// run owns the Action until it has ended and all calls have come back.
+func (a *actor) run() {
+	defer close(a.done)
+	defer func() { a.cancel() }()
+	a.do(a.core.Arrived(agateclock.Now()))
+	for !a.core.Ended() || a.open > 0 {
+		wait := min(a.core.Due()-agateclock.Now(), time.Hour)
+		due := time.NewTimer(wait)
+		select {
+		case <-a.e.ctx.Done():
+			due.Stop()
+			return
+		case event := <-a.events:
+			a.do(event(agateclock.Now()))
+		case <-due.C:
+			a.do(a.core.DeadlinePassed(agateclock.Now()))
+		}
+		due.Stop()
+	}
+}
+
+func (a *actor) do(commands []agateaction.Command) {
+	for _, c := range commands {
+		switch c.Kind {
+		case agateaction.Dispatch:
+			a.open++
+			a.dispatch()
+		case agateaction.Respond:
+			a.respond(c.Reply)
+		case agateaction.Cancel:
+			a.cancel()
+		default:
+			a.open++
+			go a.submit(c)
+		}
+	}
+}
+
+// submit sends a command to the control group.
+func (a *actor) submit(c agateaction.Command) {
+	select {
+	case <-a.e.ctx.Done():
+		return
+	case <-time.After(c.After):
+	}
+	ctx, cancel := context.WithTimeout(a.e.ctx, a.e.cfg.Settings.Wait.Control)
 	defer cancel()
-	payload := sha256.Sum256(append([]byte(cl.method+" "+cl.path+"\n"), cl.body...))
-	token := newToken()
-	res, out := e.submit(ctx, agatestate.Command{Claim: &agatestate.Claim{
-		Service: cl.service, Key: cl.key, Payload: payload, Holder: e.cfg.Settings.Name, Epoch: e.epoch,
-		Token: token, Deadline: time.Until(cl.deadline), Seen: cl.seen,
-	}})
-	if out != agateclient.Applied {
-		return refusal(http.StatusServiceUnavailable, outcomeUnknown, "control", minRetryAfter)
-	}
-	switch res.Verdict {
-	case agatestate.Granted:
-	case agatestate.Done:
-		h := http.Header{}
-		for _, f := range res.Answer.Header {
-			h.Add(f.Name, f.Value)
+	begun := time.Now()
+	res, outcome := a.e.submit(ctx, c.State)
+	a.logClaim(c.Kind, res, outcome, time.Since(begun))
+	a.ended(func(now time.Duration) []agateaction.Command {
+		if outcome == agateclient.Applied {
+			return a.core.Answered(now, c.Kind, res)
 		}
-		return reply{status: res.Answer.Status, outcome: outcomeRun, header: h, body: res.Answer.Body}
-	case agatestate.Mismatch:
-		return refusal(http.StatusUnprocessableEntity, outcomeNotRun, "mismatch", 0)
-	default:
-		return refusal(http.StatusConflict, outcomeUnknown, res.Verdict.String(), max(res.RetryAfter, minRetryAfter))
-	}
-	req := cl.request()
-	d := e.router.choose(ctx, req)
-	if d.Verdict != agateroute.Send {
-		_, out := e.submit(e.ctx, agatestate.Command{Release: &agatestate.Release{Service: cl.service, Key: cl.key, Payload: payload, Token: token}})
-		if out == agateclient.Applied {
-			return refuseDecision(d, outcomeNotRun)
+		return a.core.ControlUnreachable(now, c.Kind)
+	})
+}
+
+func (a *actor) logClaim(k agateaction.Kind, res agatestate.Result, outcome agateclient.Outcome, took time.Duration) {
+	reason := "unreachable"
+	if outcome == agateclient.Applied {
+		reason = res.Verdict.String()
+	}
+	a.e.cfg.Log.Record(&agatelog.Decision{
+		Request: a.cl.id,
+		Service: a.cl.service,
+		Kind:    agatelog.Claim,
+		Action:  true,
+		Choice:  k.String(),
+		Reason:  reason,
+		Took:    took,
+	})
+}
+
+// dispatch finds an upstream and sends the action there. It runs beside the
+// actor's goroutine.
+func (a *actor) dispatch() {
+	a.cancel()
+	ctx, cancel := context.WithCancel(a.e.ctx)
+	a.cancel = cancel
+	go a.attempt(ctx)
+}
+
+func (a *actor) attempt(ctx context.Context) {
+	wait, cancel := context.WithDeadline(ctx, a.cl.deadline)
+	defer cancel()
+	d := a.choose(wait)
+	if d.Verdict == agateroute.Refuse {
+		a.ended(func(now time.Duration) []agateaction.Command {
+			return a.core.NotAdmitted(now, agateaction.Refusal{RetryAfter: max(d.RetryAfter, minRetryAfter)})
+		})
+		return
+	}
+	r := a.e.pool.Do(ctx, agateupstream.Call{
+		Upstream:    string(d.Upstream),
+		Address:     d.Address,
+		Method:      a.cl.method,
+		Path:        a.cl.path,
+		Header:      a.cl.header,
+		Body:        a.cl.body,
+		Action:      true,
+		Deadline:    a.cl.deadline,
+		Grace:       a.e.cfg.Settings.Wait.Answer,
+		BeforeWrite: a.aboutToWrite,
+	})
+	a.last = a.e.observation(a.cl, d, r, false)
+	a.tried = true
+	a.request.Tried = append(a.request.Tried, d.Upstream)
+	if r.Died {
+		a.e.reportDeath(d.Upstream)
+	}
+	a.e.router.finish(d.Upstream, a.last)
+	a.e.shift.sized(a.cl.service, len(a.cl.body)+len(r.Body))
+	a.e.metrics.attempt(a.cl, attempt{decision: d, reply: r, observed: a.last})
+	end := agateaction.Attempt{Started: r.Started, Answer: conclusive(r)}
+	a.ended(func(now time.Duration) []agateaction.Command {
+		if r.Kind == agateupstream.Answered && end.Answer == nil {
+			a.failure = &r
 		}
-		return refuseDecision(d, outcomeUnknown)
+		return a.core.AttemptEnded(now, end)
+	})
+}
+
+// choose decides about the first or a further attempt. Only attempts that
+// provably never started are followed by another one.
+func (a *actor) choose(ctx context.Context) agateroute.Decision {
+	if !a.tried {
+		d := a.e.router.choose(ctx, a.request)
+		a.e.logDecision(a.cl, agatelog.Route, d)
+		return d
 	}
-	r := e.pool.Do(ctx, agateupstream.Call{
-		Upstream: string(d.Upstream), Address: d.Address, Method: cl.method, Path: cl.path,
-		Header: cl.header, Body: cl.body, Deadline: cl.deadline, Action: true,
+	d := a.e.router.retry(ctx, a.request, a.last)
+	a.e.logDecision(a.cl, agatelog.Retry, d)
+	return d
+}
+
+// aboutToWrite asks the Action right before the first byte. A host that was
+// frozen since the claim finds its deadline passed and writes nothing.
+func (a *actor) aboutToWrite() bool {
+	answer := make(chan bool, 1)
+	posted := a.post(func(now time.Duration) []agateaction.Command {
+		write, commands := a.core.AboutToWrite(now)
+		answer <- write
+		return commands
 	})
-	e.router.finish(d.Upstream, e.observation(cl, d, r, false))
-	if r.Kind != agateupstream.Answered {
-		return refusal(http.StatusGatewayTimeout, outcomeUnknown, r.Kind.String(), minRetryAfter)
-	}
-	ans := agatestate.Answer{Status: r.Status, Body: r.Body}
-	for name, vs := range r.Header {
-		for _, v := range vs {
-			ans.Header = append(ans.Header, agatestate.Field{Name: name, Value: v})
+	return posted && <-answer
+}
+
+// conclusive returns the answer that proves that the action ran. Errors of
+// the upstream's server prove nothing, so they are not kept as an answer.
+func conclusive(r agateupstream.Reply) *agatestate.Answer {
+	if r.Kind != agateupstream.Answered || r.Status >= http.StatusInternalServerError {
+		return nil
+	}
+	out := &agatestate.Answer{Status: r.Status, Body: r.Body}
+	for name, values := range r.Header {
+		for _, v := range values {
+			out.Header = append(out.Header, agatestate.Field{Name: name, Value: v})
 		}
 	}
-	e.submit(e.ctx, agatestate.Command{Finish: &agatestate.Finish{Service: cl.service, Key: cl.key, Token: token, Answer: ans}})
-	return answer(r)
+	return out
+}
+
+// respond hands the final answer to the caller's goroutine.
+func (a *actor) respond(r *agateaction.Reply) {
+	rep := reply{
+		status:     r.Status,
+		outcome:    outcome(r.Outcome.String()),
+		reason:     r.Reason,
+		retryAfter: r.RetryAfter,
+	}
+	if r.Answer != nil {
+		rep.header = http.Header{}
+		for _, f := range r.Answer.Header {
+			rep.header.Add(f.Name, f.Value)
+		}
+		rep.body = r.Answer.Body
+	}
+	if a.failure != nil && rep.outcome == outcomeUnknown {
+		// The caller gets the upstream's answer, with what it proves.
+		rep.status = a.failure.Status
+		rep.header = a.failure.Header
+		rep.body = a.failure.Body
+	}
+	a.reply <- rep
 }
