--- a/io/agatedemo/demo.go
+++ b/io/agatedemo/demo.go
@@ -17,6 +17,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -116,7 +117,7 @@
 	const key = "demo-purchase-1"
 	var bodies []string
 	for n := range purchases {
-		r, err := d.s.Call(ctx, n, CallConfig{Service: "labels", Method: "POST", Path: "/labels", Key: key, Body: `{"parcel":"GT-1"}`})
+		r, err := d.buy(ctx, n, key)
 		if err != nil {
 			return err
 		}
@@ -129,6 +130,20 @@
 	return nil
 }
 
+// buy sends a purchase and comes back while it is in progress: the answer goes
+// to the caller before it is recorded.
+func (d *demo) buy(ctx context.Context, n int, key string) (Response, error) {
+	for {
+		r, err := d.s.Call(ctx, n, CallConfig{Service: "labels", Method: "POST", Path: "/labels", Key: key, Body: `{"parcel":"GT-1"}`})
+		if err != nil || r.Status != http.StatusConflict {
+			return r, err
+		}
+		if err := sleep(ctx, readyPause); err != nil {
+			return r, err
+		}
+	}
+}
+
 // drain takes one upstream out of use under load.
 func (d *demo) drain(ctx context.Context) error {
 	u := d.s.Upstreams[0]
