--- a/core/agatelookup/index_test.go
+++ b/core/agatelookup/index_test.go
@@ -57,6 +57,9 @@
 	inv := &agateinventory.Inventory{Blocks: makeBlocks(4000)}
 	x := NewIndex(inv.Blocks)
 	assert.Assert(t, x.v4.top != nil)
+	for i := 1; i < len(x.v4.starts); i++ {
+		assert.Assert(t, x.v4.starts[i-1] < x.v4.starts[i] && x.v4.regions[i-1] != x.v4.regions[i], "a range to spare")
+	}
 	rng := rand.New(rand.NewPCG(2, 2))
 	for range 1000 {
 		b := inv.Blocks[rng.IntN(len(inv.Blocks))].Prefix
--- a/core/agatelookup/plan.go
+++ b/core/agatelookup/plan.go
@@ -122,6 +122,7 @@
 		case d.region != lost.region && far > 0:
 			lost.spill[i] = (1 - stays) * d.free / far
 		case near+far == 0:
+			// All others are drained; a second choice is still needed.
 			lost.spill[i] = d.kept
 		}
 	}
--- a/core/agatelookup/view.go
+++ b/core/agatelookup/view.go
@@ -15,6 +15,7 @@
 package agatelookup
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -204,7 +205,7 @@
 			if !try.drained && share >= 1 {
 				continue
 			}
-			if !(h.Capacity > 0) {
+			if !isRate(h.Capacity) {
 				h.Capacity = average
 			}
 			if try.drained {
@@ -217,8 +218,22 @@
 			break
 		}
 	}
+	p.drainRegions(cfg.Drains)
+}
+
+// drainRegions notes the drains of regions, unless they leave no region.
+func (p *plan) drainRegions(drains []agateinventory.Drain) {
+	left := false
+	for _, r := range p.regions {
+		r.drained = shareOf(drains, agateinventory.DrainRegion, r.name)
+		left = left || r.drained < 1
+	}
+	if left || len(p.regions) == 0 {
+		return
+	}
+	p.degraded = "all-drained"
 	for _, r := range p.regions {
-		r.drained = shareOf(cfg.Drains, agateinventory.DrainRegion, r.name)
+		r.drained = 0
 	}
 }
 
@@ -231,10 +246,13 @@
 	}
 }
 
+// isRate reports whether a reported figure is a positive number.
+func isRate(x float64) bool { return x > 0 && !math.IsInf(x, 1) }
+
 func averageCapacity(hosts []Host) float64 {
 	sum, n := 0.0, 0.0
 	for _, h := range hosts {
-		if h.Capacity > 0 {
+		if isRate(h.Capacity) {
 			sum += h.Capacity
 			n++
 		}
@@ -297,12 +315,14 @@
 
 func (r *region) setDemand(cfg *Config) {
 	if cfg.Demand != nil {
-		r.demand = max(cfg.Demand[r.name], 0)
+		if d := cfg.Demand[r.name]; isRate(d) {
+			r.demand = d
+		}
 		return
 	}
 	for _, h := range cfg.Hosts {
-		if h.Region == r.name {
-			r.demand += max(h.Load, 0)
+		if h.Region == r.name && isRate(h.Load) {
+			r.demand += h.Load
 		}
 	}
 }
