agateshift, agateupstream: drop lanes without a rule, answers cut anywhere

Tests seen to fail with a line taken out. "go test -run 'TestGrants|TestAccept|TestRuleGone' ./core/agateshift": rule, same region, wait and its drift and window, expiry and its window, cap, shift and link bytes, hysteresis and its check of what is free, what is free, drain, target, invalid reports, both divisions of requests and of bytes, renewal of asks, own holding, clock of the granter, unknown hosts, last demand, age and its limit, capacity and demand at once, unlisted hosts, ramp in three places, highest of the grants, sums over destination and link, turns, early end, end from the ask, end, epoch, term, open and earlier asks, no tokens after a gap, no burst at renewal, size of the bucket, both tokens, clock set back, use and rate, pruning in three places. The fuzz did not notice the wait of a new granter, the early end, the term, the second after a grant's end, and the burst of slow grants; TestGrants and TestAccept do.

--- a/core/agateshift/granter.go
+++ b/core/agateshift/granter.go
@@ -1,6 +1,7 @@
 package agateshift
 
 import (
+	"slices"
 	"time"
 
 	"agategate/core/agateinventory"
@@ -88,6 +89,7 @@
 	for _, l := range g.lanes {
 		l.allow = false
 	}
+	g.prune(inv)
 	for _, s := range inv.Shifts {
 		l := g.lane(laneKey{s.Service, s.From, s.To})
 		l.allow = s.Allow && s.From != s.To
@@ -106,6 +108,29 @@
 	g.dirty()
 }
 
+// prune drops the lanes without a rule whose grants have all ended.
+func (g *Granter) prune(inv *agateinventory.Inventory) {
+	for k, l := range g.lanes {
+		l.expire(g.latest)
+		if len(l.held) > 0 || inv.Shift(k.service, k.from, k.to) != nil {
+			continue
+		}
+		delete(g.lanes, k)
+		l.dest.lanes = without(l.dest.lanes, l)
+		l.link.lanes = without(l.link.lanes, l)
+		if len(l.dest.lanes) == 0 {
+			delete(g.dests, l.dest.key)
+		}
+		if len(l.link.lanes) == 0 {
+			delete(g.links, [2]string{k.from, k.to})
+		}
+	}
+}
+
+func without(lanes []*lane, l *lane) []*lane {
+	return slices.DeleteFunc(lanes, func(other *lane) bool { return other == l })
+}
+
 // dirty has all figures and divisions made again before they are used.
 func (g *Granter) dirty() {
 	for _, d := range g.dests {
--- a/core/agateshift/grants_test.go
+++ b/core/agateshift/grants_test.go
@@ -243,6 +243,34 @@
 	assert.Equal(t, len(h.lanes[laneKey{"s", "a", "c"}].pending), maxPending)
 }
 
+// Guards against grants that are forgotten, or lanes that are kept for good,
+// when their rule goes.
+func TestRuleGone(t *testing.T) {
+	with := func(from string) *agateinventory.Inventory {
+		return &agateinventory.Inventory{
+			Hosts:  []agateinventory.Host{{Name: "c1", Region: "c"}},
+			Shifts: []agateinventory.Shift{{Service: "s", From: from, To: "c", Requests: 1000, Allow: true}},
+		}
+	}
+	g := NewGranter(Config{Now: start})
+	g.Configure(start, with("a"))
+	now := start.Add(4 * time.Second)
+	g.Report(now, "c1", []Demand{{"s", "c", 100, 0, 0}})
+	g.Configure(now, with("a")) // keeps what was reported
+	ask := Ask{Host: "h", Service: "s", From: "a", To: "c", Requests: 4}
+	assert.Equal(t, g.Grant(now, ask).Requests, 4.0)
+	g.Configure(now, with("b"))
+	assert.Equal(t, g.Grant(now, ask).Reason, "no-rule")
+	ask.From = "b"
+	g.Grant(now, ask)
+	assert.Assert(t, g.dests[destKey{"s", "c"}].used >= 5, "the grant still counts")
+	now = now.Add(3 * time.Second)
+	g.Configure(now, with("b"))
+	assert.Equal(t, len(g.lanes), 1)
+	g.Configure(now, &agateinventory.Inventory{})
+	assert.Equal(t, len(g.lanes)+len(g.dests)+len(g.links), 0)
+}
+
 // BenchmarkGrant measures one ask with many hosts that ask.
 func BenchmarkGrant(b *testing.B) {
 	for _, n := range []int{10, 100, 1000} {
--- a/io/agateupstream/soak_test.go
+++ b/io/agateupstream/soak_test.go
@@ -40,6 +40,41 @@
 	}
 }
 
+// Guards against a part of an answer being given out, wherever it is cut.
+func TestCutAnywhere(t *testing.T) {
+	answers := []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\nSum: 1\r\n\r\n",
+	}
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		var i, n int
+		fmt.Sscanf(r.URL.Path, "/%d/%d", &i, &n)
+		io.WriteString(w, answers[i][:n])
+		return false
+	})
+	p := newPool(t, Config{})
+	for i, answer := range answers {
+		for n := range len(answer) + 1 {
+			r := p.Do(t.Context(), get(s.addr, fmt.Sprintf("/%d/%d", i, n)))
+			if whole := n == len(answer); (r.Kind == Answered) != whole || !r.Started {
+				t.Errorf("%q is %v", answer[:n], r.Kind)
+			}
+		}
+	}
+}
+
+// BenchmarkDo measures one request at a time on a kept connection.
+func BenchmarkDo(b *testing.B) {
+	s := startUpstream(b, echo)
+	p := New(Config{})
+	defer p.Close()
+	for b.Loop() {
+		if r := p.Do(b.Context(), get(s.addr, "/")); r.Kind != Answered {
+			b.Fatal(r.Err)
+		}
+	}
+}
+
 // misbehave acts as the request's Fault header says.
 func misbehave(w net.Conn, r *http.Request) bool {
 	body := r.URL.Path
