--- a/core/agateroute/sim_test.go
+++ b/core/agateroute/sim_test.go
@@ -219,7 +219,6 @@
 	a.run = int(u.incarnation)
 	if len(u.waiting) >= shedFactor*u.slots {
 		u.s.out.shed++
-		u.s.out.addWork(u, -a.r.work.Seconds())
 		u.reply(a, Shed)
 		return
 	}
@@ -233,7 +232,6 @@
 		a := u.waiting[0]
 		u.waiting = u.waiting[1:]
 		if u.s.now >= a.r.deadline {
-			u.s.out.addWork(u, -a.r.work.Seconds())
 			u.reply(a, TimedOut)
 			continue
 		}
