agateshift, agateroute, agateentry: overflow into regions without measured capacity

Cause: with separate processes a rule for overflow had no effect: no entry host had sent requests to the other region, so none knew its capacity, the region's own host counted as unknown, and nothing was granted. Change: a host that cannot tell a capacity says so and its demand still counts; the exchange carries what the table needs of its peers (waiting requests, answers and service times). A connection counts as silent by answer time only once the usual answer time is known. The only upstream of a region gets probes after failures: its group has no slots then, and the share of this host in them barred every probe.

--- a/core/agateroute/weigh.go
+++ b/core/agateroute/weigh.go
@@ -102,8 +102,9 @@
 
 // above reports whether this host has more than its part while no slot is
 // idle. Without this, hosts that all see the same old count fill the same gap.
+// A group without slots has none to share: its upstreams fail and get probes.
 func (g *group) above() bool {
-	return g.load() >= g.slots && float64(g.live)*g.present+1 > g.part()*partSlack
+	return g.slots > 0 && g.load() >= g.slots && float64(g.live)*g.present+1 > g.part()*partSlack
 }
 
 // cost is the expected time to answer in units of the group's usual latency.
--- a/core/agateshift/dest.go
+++ b/core/agateshift/dest.go
@@ -53,6 +53,9 @@
 
 func (d *dest) report(now time.Time, host string, m Demand) {
 	r := &report{capacity: m.Capacity, own: m.Own, at: now.Add(-max(m.Age, 0))}
+	if m.Capacity == Unknown {
+		r.capacity = math.Inf(1) // bounds nothing; see refresh for all unknown
+	}
 	if old := d.reports[host]; old != nil {
 		if r.at.Before(old.at) {
 			return
--- a/core/agateshift/granter.go
+++ b/core/agateshift/granter.go
@@ -191,7 +191,8 @@
 func (g *Granter) Report(now time.Time, host string, list []Demand) {
 	now = g.clock(now)
 	for _, m := range list {
-		if m.Capacity != rate(m.Capacity) || m.Own != rate(m.Own) {
+		known := m.Capacity == rate(m.Capacity) || m.Capacity == Unknown
+		if !known || m.Own != rate(m.Own) {
 			continue
 		}
 		if d := g.dests[destKey{m.Service, m.Region}]; d != nil {
--- a/core/agateshift/shift.go
+++ b/core/agateshift/shift.go
@@ -61,8 +61,9 @@
 	Service string
 	Region  string
 	// Capacity is what the region's upstreams can answer, in requests/s, for
-	// all entry hosts together. A host that does not know it leaves the whole
-	// Demand out: 0 means that nothing can be answered.
+	// all entry hosts together. 0 means that nothing can be answered, and
+	// Unknown that this host cannot tell, for example because it has sent no
+	// request there yet; its own demand counts all the same.
 	Capacity float64
 	// Own is this host's demand on the region's upstreams in requests/s,
 	// without overflow sent under grants.
@@ -71,6 +72,9 @@
 	Age time.Duration
 }
 
+// Unknown is the Capacity of a Demand whose host cannot tell.
+const Unknown = -1.0
+
 // Ask is a request for a grant. Holder.Ask makes it.
 type Ask struct {
 	Host string
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -221,8 +221,9 @@
 		Append: func(hard agatequorum.Hard, entries []agatequorum.Entry) error {
 			return c.store.Append(agatestore.Batch{Hard: hard, Entries: entries})
 		},
-		SaveSnapshot: c.store.SaveSnapshot,
-		Logger:       c.log.Named("replica"),
+		SaveSnapshot:  c.store.SaveSnapshot,
+		SnapshotEvery: c.cfg.Settings.Snapshot,
+		Logger:        c.log.Named("replica"),
 	}
 }
 
--- a/io/agatecontrol/grant.go
+++ b/io/agatecontrol/grant.go
@@ -94,14 +94,10 @@
 	return true
 }
 
-// demands translates a host's usage. A place whose capacity the host does not
-// know is left out, so that it counts as used.
+// demands translates a host's usage.
 func demands(ask *agatewire.BeatAsk) []agateshift.Demand {
 	var out []agateshift.Demand
 	for _, u := range ask.Usage {
-		if u.Capacity <= 0 {
-			continue
-		}
 		out = append(out, agateshift.Demand{
 			Service:  u.Service,
 			Region:   u.Region,
--- a/io/agatedemo/upstream.go
+++ b/io/agatedemo/upstream.go
@@ -38,6 +38,9 @@
 	Connections int
 	// Work is the time that a request takes. The default is 10 ms.
 	Work time.Duration
+	// Announced is the address told to entry hosts, as behind a relay. The
+	// default is the listen address.
+	Announced netip.AddrPort
 	// Crash is a path whose request ends the upstream at once, as a request
 	// does that its program cannot bear. The default is none.
 	Crash string
@@ -62,12 +65,14 @@
 	sequence    atomic.Uint64
 	held        atomic.Int64
 	crashed     atomic.Bool
+	quiet       atomic.Bool
 	state       atomic.Value // string
 	wake        chan struct{}
 
-	mu   sync.Mutex
-	runs map[string]int
-	last time.Time // start of the newest request
+	mu    sync.Mutex
+	runs  map[string]int
+	total int
+	last  time.Time // start of the newest request
 }
 
 // StartUpstream listens and begins to announce.
@@ -153,6 +158,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.last = time.Now()
+	u.total++
 	if key == "" {
 		return 0
 	}
@@ -180,6 +186,23 @@
 // Address returns the listen address.
 func (u *Upstream) Address() netip.AddrPort { return u.server.Address() }
 
+func (u *Upstream) announced() netip.AddrPort {
+	if u.cfg.Announced.IsValid() {
+		return u.cfg.Announced
+	}
+	return u.Address()
+}
+
+// Total returns the number of requests executed.
+func (u *Upstream) Total() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.total
+}
+
+// SetQuiet stops and resumes the announcements.
+func (u *Upstream) SetQuiet(quiet bool) { u.quiet.Store(quiet) }
+
 // SetState announces "up", "draining" or "leaving" at once.
 func (u *Upstream) SetState(state string) {
 	u.state.Store(state)
@@ -193,8 +216,10 @@
 func (u *Upstream) announceAll(ctx context.Context) {
 	interval := defaultInterval
 	for {
-		if told := u.announce(ctx); told > 0 {
-			interval = told
+		if !u.quiet.Load() {
+			if told := u.announce(ctx); told > 0 {
+				interval = told
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -229,7 +254,7 @@
 		Service:     u.cfg.Service,
 		Region:      u.cfg.Region,
 		Domain:      u.cfg.Domain,
-		Address:     u.Address().String(),
+		Address:     u.announced().String(),
 		Slots:       u.cfg.Slots,
 		Connections: u.cfg.Connections,
 		Load:        float64(u.held.Load()) / float64(u.cfg.Slots),
--- a/io/agateentry/beat.go
+++ b/io/agateentry/beat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"agategate/core/agateroute"
+	"agategate/core/agateshift"
 	"agategate/io/agatewire"
 )
 
@@ -93,7 +94,7 @@
 		ask.Usage = append(ask.Usage, &agatewire.Usage{
 			Service:  u.Service,
 			Region:   u.Region,
-			Capacity: u.Capacity,
+			Capacity: capacityOf(&u),
 			Demand:   u.Demand,
 			Inflight: float64(u.Own),
 		})
@@ -101,6 +102,15 @@
 	return ask
 }
 
+// capacityOf is the capacity as the granter takes it: a place with slots whose
+// answer time is not known yet may answer something.
+func capacityOf(u *agateroute.Usage) float64 {
+	if u.Capacity == 0 && u.Slots > 0 {
+		return agateshift.Unknown
+	}
+	return u.Capacity
+}
+
 // usage is the newest view of capacity and demand. The routing duty renews it.
 func (e *Entry) usage() []agateroute.Usage {
 	if u := e.used.Load(); u != nil {
--- a/io/agateentry/exchange.go
+++ b/io/agateentry/exchange.go
@@ -202,7 +202,16 @@
 		ask.Upstreams = append(ask.Upstreams, toWireUpstream(&out.Announcements[i]))
 	}
 	for _, n := range out.InFlight {
-		ask.Uses = append(ask.Uses, &agatewire.UpstreamUse{Id: string(n.ID), Inflight: uint32(n.InFlight)})
+		ask.Uses = append(ask.Uses, &agatewire.UpstreamUse{Id: string(n.ID), Inflight: uint32(n.InFlight), Present: n.Present})
+	}
+	for _, t := range out.Traffic {
+		ask.Traffic = append(ask.Traffic, &agatewire.Traffic{
+			Service: t.Name,
+			Region:  t.Region,
+			Waiting: uint32(t.Waiting),
+			Answers: t.Answers,
+			Time:    int64(t.Service),
+		})
 	}
 	return ask, true
 }
@@ -236,7 +245,20 @@
 		}
 	}
 	for _, u := range ask.Uses {
-		in.InFlight = append(in.InFlight, agateroute.Count{ID: agateroute.UpstreamID(u.Id), InFlight: int(u.Inflight)})
+		in.InFlight = append(in.InFlight, agateroute.Count{
+			ID:       agateroute.UpstreamID(u.Id),
+			InFlight: int(u.Inflight),
+			Present:  u.Present,
+		})
+	}
+	for _, t := range ask.Traffic {
+		in.Traffic = append(in.Traffic, agateroute.Traffic{
+			Name:    t.Service,
+			Region:  t.Region,
+			Waiting: int(t.Waiting),
+			Answers: t.Answers,
+			Service: time.Duration(t.Time),
+		})
 	}
 	e.router.do(func(now time.Time) { e.router.table.Merge(now, in) })
 	e.suspects.merge(ask.Suspects)
--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -150,9 +150,15 @@
 	return a
 }
 
-// probeTime is how long a connection may stay silent during a read.
+// probeTime is how long a connection may stay silent during a read. There is
+// no limit while the usual answer time is not known: an upstream with a queue
+// would be taken for a silent connection.
 func (e *Entry) probeTime(cl *call) time.Duration {
-	return max(probeLeast, probeFactor*time.Duration(e.hedges.load(cl.service)))
+	usual := e.hedges.load(cl.service)
+	if usual <= 0 {
+		return 0
+	}
+	return max(probeLeast, probeFactor*usual)
 }
 
 // observation translates the end of an attempt for the table.
--- a/io/agatesettings/settings.go
+++ b/io/agatesettings/settings.go
@@ -74,6 +74,7 @@
 	Members   []Member       `toml:"members" help:"initial members, each as name=address of its peer listener; only read when the data directory is empty"`
 	Join      bool           `toml:"join" default:"false" help:"start without members and wait until the group adds this replica"`
 	Retention time.Duration  `toml:"retention" default:"24h" min:"1m" max:"8760h" reload:"yes" help:"time that records of finished actions are kept"`
+	Snapshot  int            `toml:"snapshot" default:"4096" unit:"entries" min:"16" max:"10000000" help:"log entries between two snapshots"`
 	Grace     time.Duration  `toml:"grace" default:"10s" min:"0s" max:"1h" reload:"yes" help:"longest time of a planned stop"`
 	Record    Record         `toml:"record"`
 	Limit     ControlLimit   `toml:"limit"`
--- a/test/call_test.go
+++ b/test/call_test.go
@@ -165,18 +165,24 @@
 type load struct {
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
+	// only is the host that all callers use, if there is one.
+	only []netip.AddrPort
 
 	mu       sync.Mutex
 	answered int
 	failures []string
 }
 
-// doLoad starts callers: load WORKERS [service=NAME] [path=PATH].
+// doLoad starts callers: load WORKERS [to=HOST]. They follow look-ups, or all
+// use one host.
 func doLoad(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 1, "load WORKERS")
 	s := of(ts)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.load = &load{cancel: cancel}
+	if to := options(args[1:])["to"]; to != "" {
+		s.load.only = []netip.AddrPort{s.entry(ts, to).caller}
+	}
 	for w := range number(ts, args[0]) {
 		s.load.workers.Go(func() { s.load.run(ctx, w, s.callers()) })
 	}
@@ -193,7 +199,10 @@
 	var hosts []netip.AddrPort
 	var expires time.Time
 	for ctx.Err() == nil {
-		if time.Now().After(expires) {
+		switch {
+		case l.only != nil:
+			hosts = l.only
+		case time.Now().After(expires):
 			hosts, expires = lookup(ctx, all, fmt.Sprintf("10.%d.0.%d", n%len(places)+1, n+1))
 		}
 		a := answer{err: fmt.Errorf("no host")}
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -32,6 +32,7 @@
 	entries   []host
 	controls  []host
 	upstreams map[string]*agatedemo.Upstream
+	relays    map[string]*relay
 	load      *load
 	last      answer
 	answers   map[string]answer
@@ -66,6 +67,7 @@
 		dir:       env.WorkDir,
 		processes: make(map[string]*process),
 		upstreams: make(map[string]*agatedemo.Upstream),
+		relays:    make(map[string]*relay),
 		answers:   make(map[string]answer),
 		pending:   make(map[string]chan answer),
 	}
@@ -88,6 +90,9 @@
 	for _, u := range s.upstreams {
 		u.Kill()
 	}
+	for _, r := range s.relays {
+		r.close()
+	}
 }
 
 // lay chooses addresses and writes the settings of all processes.
@@ -163,6 +168,7 @@
 peer = %q
 admin = %q
 members = [%s]
+snapshot = 100
 
 [tls]
 insecure = true
--- a/test/verb_test.go
+++ b/test/verb_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"agategate/core/agateinventory"
 	"agategate/io/agatedemo"
 	"agategate/io/agateops"
 )
@@ -42,6 +44,11 @@
 	"want":     doWant,
 	"runs":     doRuns,
 	"crashes":  doCrashes,
+	"quiet":    doQuiet,
+	"mute":     doMute,
+	"ran":      doRan,
+	"changes":  doChanges,
+	"rule":     doRule,
 	"known":    doKnown,
 	"load":     doLoad,
 	"unload":   doUnload,
@@ -249,6 +256,10 @@
 		if opts["slots"] != "" {
 			cfg.Slots = number(ts, opts["slots"])
 		}
+		if opts["relay"] != "" {
+			ts.Check(s.startBehindRelay(cfg))
+			continue
+		}
 		u, err := agatedemo.StartUpstream(cfg)
 		ts.Check(err)
 		s.upstreams[cfg.ID] = u
@@ -337,6 +348,69 @@
 	}
 }
 
+// doQuiet stops the announcements of all upstreams while they still answer.
+func doQuiet(ts *testscript.TestScript, _ bool, _ []string) {
+	for _, u := range of(ts).upstreams {
+		u.SetQuiet(true)
+	}
+}
+
+// doMute makes the open connections of upstreams behind a relay silent for
+// good, while new ones work.
+func doMute(ts *testscript.TestScript, _ bool, args []string) {
+	for _, id := range args {
+		of(ts).relays[id].mute()
+	}
+}
+
+// doRan checks how many requests the upstreams of a service in a region have
+// executed: ran SERVICE REGION <=COUNT or >=COUNT.
+func doRan(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "ran SERVICE REGION <=COUNT|>=COUNT")
+	n := 0
+	for id, u := range of(ts).upstreams {
+		if strings.HasPrefix(id, args[0]+"-"+args[1]+"-") {
+			n += u.Total()
+		}
+	}
+	ts.Logf("%s in %s ran %d requests", args[0], args[1], n)
+	limit := number(ts, args[2][2:])
+	if (args[2][:2] == "<=") != (n <= limit) && n != limit {
+		ts.Fatalf("%s in %s ran %d requests, want %s", args[0], args[1], n, args[2])
+	}
+}
+
+// doChanges makes so many accepted changes of the configuration.
+func doChanges(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "changes COUNT")
+	s := of(ts)
+	client, err := agateops.NewClient(agateops.ClientConfig{Hosts: strings.Split(s.admins(), ",")})
+	ts.Check(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 6*startTime)
+	defer cancel()
+	cur, err := client.Config(ctx)
+	ts.Check(err)
+	base := cur.Revision
+	for range number(ts, args[0]) {
+		rev, err := client.Apply(ctx, agateops.ChangeRequest{Change: fmt.Sprintf("change-%d", base), Base: base, Document: cur.Document})
+		ts.Check(err)
+		base = rev.Revision
+	}
+}
+
+// doRule adds a rule for overflow to the inventory file: rule SERVICE FROM TO
+// REQUESTS.
+func doRule(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 4, "rule SERVICE FROM TO REQUESTS")
+	s := of(ts)
+	inv := s.inventory()
+	inv.Links = []agateinventory.Link{{From: args[1], To: args[2], Bytes: 1e9}}
+	inv.Shifts = []agateinventory.Shift{{
+		Service: args[0], From: args[1], To: args[2], Allow: true, Requests: float64(number(ts, args[3])), Bytes: 1e8,
+	}}
+	ts.Check(os.WriteFile(filepath.Join(s.dir, "inventory.toml"), agateinventory.Format(inv), 0o600))
+}
+
 // doPass lets time pass, as in a long partition.
 func doPass(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 1, "pass DURATION")
