agateshift: grants state the size of the largest request

A bucket of 100 ms of a slow grant's bytes is smaller than one request, so that the grant let none through. The size of one request is now part of the ask, is kept free in each second, and is the least burst in bytes.

--- a/core/agateshift/fuzz_test.go
+++ b/core/agateshift/fuzz_test.go
@@ -302,7 +302,7 @@
 	if w.now < h.lull {
 		want = 0.5
 	}
-	a := h.holder.Ask(w.local(h), "s", h.region, "c", want, 2*want*h.size+1)
+	a := h.holder.Ask(w.local(h), "s", h.region, "c", want, 2*want*h.size+1, int64(h.size))
 	g, holder := w.granter, h.holder
 	if w.now < h.cut {
 		return
--- a/core/agateshift/granter.go
+++ b/core/agateshift/granter.go
@@ -241,11 +241,12 @@
 	if l.bytes >= unlimited && l.link.bytes >= unlimited {
 		bytes = unlimited
 	}
-	if requests < leastRequests || bytes <= 0 {
-		out.Reason = l.limit(room, reason, bytes)
+	byteRate := rateFor(bytes, asked.size)
+	if requests < leastRequests || byteRate <= 0 {
+		out.Reason = l.limit(room, reason, byteRate)
 		return
 	}
-	out.Requests, out.Bytes = requestRate(requests), byteRate(bytes)
+	out.Requests, out.Bytes, out.Size = rateFor(requests, oneRequest), byteRate, asked.size
 	out.Reason = "granted"
 	l.give(&given{process: p, until: now.Add(g.cfg.Duration + window), requests: requests, bytes: bytes})
 }
@@ -329,14 +330,16 @@
 	}
 	k.at = now
 	var all []*claim
+	least := 0.0
 	for _, l := range k.lanes {
 		own := make([]*claim, 0, len(l.asks))
 		for _, s := range l.asks {
 			own = append(own, &s.bytes)
 		}
-		all = append(all, stage(own, l.bytes, 0)...)
+		all = append(all, stage(own, l.bytes, l.leastBytes())...)
+		least = max(least, l.leastBytes())
 	}
-	divideAgain(all, k.bytes, 0)
+	divideAgain(all, k.bytes, least)
 }
 
 // stage divides one lane's cap.
--- a/core/agateshift/grants_test.go
+++ b/core/agateshift/grants_test.go
@@ -35,6 +35,8 @@
 	granter *Granter
 	holders map[string]*Holder
 	epoch   uint64
+	// size is that of asks in bytes.
+	size int64
 	// keep and wants are renewed each 250 ms by settle.
 	keep  [][]string
 	wants [][]string
@@ -90,7 +92,9 @@
 		}
 		h := s.holder(f[1])
 		late, _ := time.ParseDuration(append(f, "0s")[6])
-		h.Accept(s.now.Add(late), s.granter.Grant(s.now, h.Ask(s.now, "shift", f[2], f[3], s.num(f[4]), s.num(f[5]))))
+		h.Accept(s.now.Add(late), s.granter.Grant(s.now, h.Ask(s.now, "shift", f[2], f[3], s.num(f[4]), s.num(f[5]), s.size)))
+	case "size":
+		s.size = int64(s.num(f[1]))
 	case "restart":
 		delete(s.holders, f[1])
 	case "take":
@@ -108,7 +112,7 @@
 	}
 	s.granter = NewGranter(Config{Now: start, Term: 1})
 	s.holders = map[string]*Holder{}
-	s.keep, s.wants = nil, nil
+	s.keep, s.wants, s.size = nil, nil, 0
 }
 
 func (s *script) num(x string) float64 {
@@ -138,7 +142,7 @@
 
 func (s *script) grant(f []string) Grant {
 	service := "shift" + strings.TrimLeft(f[0], "askwnt")
-	a := s.holder(f[1]).Ask(s.now, service, f[2], f[3], s.num(f[4]), s.num(f[5]))
+	a := s.holder(f[1]).Ask(s.now, service, f[2], f[3], s.num(f[4]), s.num(f[5]), s.size)
 	return s.granter.Grant(s.now, a)
 }
 
@@ -204,7 +208,7 @@
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	var asks []Ask
 	for range 5 {
-		asks = append(asks, h.Ask(at(0), "s", "a", "c", 100, 1e6))
+		asks = append(asks, h.Ask(at(0), "s", "a", "c", 100, 1e6, 0))
 	}
 	grant := func(i int, rate float64) Grant {
 		return Grant{
@@ -238,7 +242,7 @@
 	assert.Equal(t, accept(20, grant(3, 60)), 60.0)
 	assert.Equal(t, accept(1900, grant(4, 70)), 0.0, "an ended grant")
 	for range 2 * maxPending {
-		h.Ask(at(2000), "s", "a", "c", 1, 1)
+		h.Ask(at(2000), "s", "a", "c", 1, 1, 0)
 	}
 	assert.Equal(t, len(h.lanes[laneKey{"s", "a", "c"}].pending), maxPending)
 }
--- a/core/agateshift/holder.go
+++ b/core/agateshift/holder.go
@@ -50,9 +50,10 @@
 	return &Holder{cfg: cfg, lanes: map[laneKey]*held{}}
 }
 
-// Ask returns an ask for rates of requests and bytes per second. A grant
-// counts from the time of its ask, so the ask should be sent at once.
-func (h *Holder) Ask(now time.Time, service, from, to string, requests, bytes float64) Ask {
+// Ask returns an ask for rates of requests and bytes per second, under which
+// requests of up to size bytes must get through. A larger size takes more of
+// what there is: it is kept free in each second. A grant counts from the time of its ask, so the ask should be sent at once.
+func (h *Holder) Ask(now time.Time, service, from, to string, requests, bytes float64, size int64) Ask {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now = h.clock(now)
@@ -67,7 +68,7 @@
 	l.pending[h.next] = now
 	return Ask{
 		Host: h.cfg.Host, Epoch: h.cfg.Epoch, ID: h.next,
-		Service: service, From: from, To: to, Requests: requests, Bytes: bytes,
+		Service: service, From: from, To: to, Requests: requests, Bytes: bytes, Size: float64(size),
 	}
 }
 
@@ -102,8 +103,8 @@
 		l.requests, l.bytes = bucket{}, bucket{}
 	}
 	l.ends = asked.Add(lifetime(g.Duration))
-	l.requests.set(now, rate(g.Requests), requestBurst)
-	l.bytes.set(now, rate(g.Bytes), byteBurst)
+	l.requests.set(now, rate(g.Requests), oneRequest)
+	l.bytes.set(now, rate(g.Bytes), rate(g.Size))
 }
 
 // lifetime returns how long a grant may be used by a clock that may be slower
@@ -123,8 +124,8 @@
 	if l == nil || !now.Before(l.ends) {
 		return false
 	}
-	l.requests.refill(now, requestBurst)
-	l.bytes.refill(now, byteBurst)
+	l.requests.refill(now)
+	l.bytes.refill(now)
 	size := max(float64(bytes), 0)
 	if l.requests.level < 1 || l.bytes.level < size {
 		return false
@@ -162,20 +163,20 @@
 // bucket is a token bucket.
 type bucket struct {
 	rate  float64
+	least float64
 	level float64
 	at    time.Time
 }
 
 // set changes the rate. Tokens stay, within the new size, so that a renewed
 // grant brings no new burst; a first grant starts without tokens.
-func (b *bucket) set(now time.Time, rate float64, burst func(float64) float64) {
-	b.refill(now, burst)
-	b.rate = rate
-	b.level = min(b.level, burst(rate))
-	b.at = now
+func (b *bucket) set(now time.Time, rate, least float64) {
+	b.refill(now)
+	b.rate, b.least = rate, least
+	b.level = min(b.level, burst(rate, least))
 }
 
-func (b *bucket) refill(now time.Time, burst func(float64) float64) {
-	b.level = min(b.level+b.rate*now.Sub(b.at).Seconds(), burst(b.rate))
+func (b *bucket) refill(now time.Time) {
+	b.level = min(b.level+b.rate*now.Sub(b.at).Seconds(), burst(b.rate, b.least))
 	b.at = now
 }
--- a/core/agateshift/lane.go
+++ b/core/agateshift/lane.go
@@ -48,6 +48,18 @@
 	at       time.Time
 	requests claim
 	bytes    claim
+	// size is the largest request in bytes.
+	size float64
+}
+
+// leastBytes is the least use of bytes that is granted to anyone on the lane:
+// one request of the largest size as burst, and a quarter of that as rate.
+func (l *lane) leastBytes() float64 {
+	size := 0.0
+	for _, s := range l.asks {
+		size = max(size, s.size)
+	}
+	return size * leastRequests
 }
 
 // holding is what one process may hold: the highest of its grants, because a
@@ -87,8 +99,9 @@
 	}
 	turn := xxhash.Sum64String(a.Host) ^ uint64(now.Unix()/int64(turnTime/time.Second))*0x9e3779b97f4a7c15
 	s.at = now
-	requests := min(requestUse(rate(a.Requests)), unlimited)
-	bytes := min(byteUse(rate(a.Bytes)), unlimited)
+	requests := min(perSecond(rate(a.Requests), oneRequest), unlimited)
+	bytes := min(perSecond(rate(a.Bytes), rate(a.Size)), unlimited)
+	s.size = rate(a.Size)
 	moved := differs(s.requests.want, requests) || differs(s.bytes.want, bytes)
 	s.requests.want, s.requests.turn = requests, turn
 	s.bytes.want, s.bytes.turn = bytes, turn
--- a/core/agateshift/shift.go
+++ b/core/agateshift/shift.go
@@ -15,7 +15,7 @@
 // At an entry host:
 //
 //	h := agateshift.NewHolder(agateshift.HolderConfig{Host: "gt-1", Epoch: epoch})
-//	ask := h.Ask(now, "quotes", "centro", "oriente", 120, 1e6)
+//	ask := h.Ask(now, "quotes", "centro", "oriente", 120, 1e6, 16<<10)
 //	... // send the ask, receive the grant
 //	h.Accept(now, grant)
 //	if h.Take(now, "quotes", "centro", "oriente", size) {
@@ -51,9 +51,9 @@
 const (
 	// burstTime is the time whose tokens a bucket can hold.
 	burstTime = 100 * time.Millisecond
-	// burstLeast is the least size of a bucket of requests. A bucket that
+	// oneRequest is the least size of a bucket of requests. A bucket that
 	// cannot hold one request would never let one through.
-	burstLeast = 1.0
+	oneRequest = 1.0
 )
 
 // Demand is what one entry host knows about one service in one region.
@@ -84,6 +84,8 @@
 	// Requests and Bytes are the rates asked for, per second.
 	Requests float64
 	Bytes    float64
+	// Size is the largest request that the grant must let through, in bytes.
+	Size float64
 }
 
 // Grant is the answer to an Ask. It replaces earlier grants to the same
@@ -102,6 +104,8 @@
 	// neither is.
 	Requests float64
 	Bytes    float64
+	// Size is the least burst in bytes.
+	Size float64
 	// Duration counts from when the ask was made.
 	Duration time.Duration
 	// Reason names what limited the grant, for the decision log.
@@ -115,36 +119,28 @@
 	to      string
 }
 
-// requestBurst returns the size of the bucket for a rate of requests.
-func requestBurst(rate float64) float64 {
+// burst returns the size of the bucket for a rate, where one request takes
+// least tokens.
+func burst(rate, least float64) float64 {
 	if rate <= 0 {
 		return 0
 	}
-	return max(rate*burstTime.Seconds(), burstLeast)
+	return max(rate*burstTime.Seconds(), least)
 }
 
-// byteBurst returns the size of the bucket for a rate of bytes.
-func byteBurst(rate float64) float64 { return rate * burstTime.Seconds() }
-
-// requestUse returns how many requests a rate allows in one second.
-func requestUse(rate float64) float64 {
-	if rate <= 0 {
-		return 0
-	}
-	return rate*window.Seconds() + requestBurst(rate)
+// perSecond returns how much a rate allows in one second.
+func perSecond(rate, least float64) float64 {
+	return rate*window.Seconds() + burst(rate, least)
 }
 
-// requestRate is the inverse of requestUse.
-func requestRate(use float64) float64 {
-	slow := use - burstLeast
+// rateFor is the inverse of perSecond. It returns 0 if the use leaves nothing beside
+// the burst.
+func rateFor(use, least float64) float64 {
+	slow := use - least
 	fast := use / (window + burstTime).Seconds()
 	return max(min(slow, fast), 0)
 }
 
-func byteUse(rate float64) float64 { return rate * (window + burstTime).Seconds() }
-
-func byteRate(use float64) float64 { return max(use/(window+burstTime).Seconds(), 0) }
-
 // rate returns x if it can be a rate, otherwise 0.
 func rate(x float64) float64 {
 	if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
