--- a/core/agatelookup/choose.go
+++ b/core/agatelookup/choose.go
@@ -80,12 +80,12 @@
 	}
 	home := p.byName[name]
 	if home == nil {
-		return p.guest(client, nil), "region-lost"
+		return p.overflow(client, nil), "region-lost"
 	}
 	if unit(client, home.hash, saltStay) < home.stays {
 		return home, "near"
 	}
-	r := p.guest(client, home)
+	r := p.overflow(client, home)
 	switch {
 	case r == home:
 		return home, "near"
@@ -102,16 +102,16 @@
 	})
 }
 
-// guest returns a region other than home, by what is free. It returns home if
+// overflow returns a region other than home, by what is free. It returns home if
 // no other region can take more.
-func (p *plan) guest(client uint64, home *region) *region {
+func (p *plan) overflow(client uint64, home *region) *region {
 	r := pick(client, saltRegion, p.regions, func(r *region) (uint64, float64) {
 		if r == home {
 			return r.hash, 0
 		}
-		return r.hash, r.guests
+		return r.hash, r.inbound
 	})
-	if r.guests > 0 && r != home {
+	if r.inbound > 0 && r != home {
 		return r
 	}
 	if home != nil && home.drained < 1 {
--- a/core/agatelookup/index.go
+++ b/core/agatelookup/index.go
@@ -87,7 +87,7 @@
 		return cmp.Or(a.prefix.Addr().Compare(b.prefix.Addr()), cmp.Compare(a.prefix.Bits(), b.prefix.Bits()))
 	})
 	var open []block // the blocks around the current address, longest last
-	shut := func() {
+	closeLast := func() {
 		b := open[len(open)-1]
 		open = open[:len(open)-1]
 		outer := uint16(none)
@@ -103,13 +103,13 @@
 			continue
 		}
 		for len(open) > 0 && !open[len(open)-1].prefix.Contains(b.prefix.Addr()) {
-			shut()
+			closeLast()
 		}
 		open = append(open, b)
 		add(b.prefix.Addr(), b.region)
 	}
 	for len(open) > 0 {
-		shut()
+		closeLast()
 	}
 }
 
--- a/core/agatelookup/plan.go
+++ b/core/agatelookup/plan.go
@@ -58,12 +58,12 @@
 		}
 		r.load = r.demand * r.stays
 		leaving += r.demand - r.load
-		r.guests = max(r.full*fill-r.load, 0) * (1 - r.drained)
-		free += r.guests
+		r.inbound = max(r.full*fill-r.load, 0) * (1 - r.drained)
+		free += r.inbound
 	}
 	for _, r := range p.regions {
 		if free > 0 {
-			r.load += leaving * r.guests / free
+			r.load += leaving * r.inbound / free
 		}
 	}
 	for _, d := range p.domains {
--- a/core/agatelookup/view.go
+++ b/core/agatelookup/view.go
@@ -132,8 +132,8 @@
 	drained float64
 	// stays is the share of its callers that it serves itself.
 	stays float64
-	// guests weighs the region for callers that come from elsewhere.
-	guests float64
+	// inbound weighs the region for callers that come from elsewhere.
+	inbound float64
 	// load is what is planned for the region.
 	load float64
 }
--- a/core/agateshift/dest.go
+++ b/core/agateshift/dest.go
@@ -28,7 +28,7 @@
 // dest is a service in a region, as a destination of overflow.
 type dest struct {
 	key     destKey
-	lanes   []*lane
+	flows   []*flow
 	reports map[string]*report
 	// used sums what is granted and has not surely ended.
 	used float64
--- a/core/agateshift/divide.go
+++ b/core/agateshift/divide.go
@@ -21,13 +21,13 @@
 		fill(claims, 0)
 		return
 	}
-	level := waterLevel(claims, pool)
+	level := fairLevel(claims, pool)
 	if level < least {
 		slices.SortFunc(claims, func(a, b *claim) int { return cmp.Compare(a.turn, b.turn) })
 		n := min(int(pool/least), len(claims))
 		fill(claims[n:], 0)
 		claims = claims[:n]
-		level = waterLevel(claims, pool)
+		level = fairLevel(claims, pool)
 	}
 	fill(claims, level)
 }
@@ -38,9 +38,9 @@
 	}
 }
 
-// waterLevel returns the part that no claim's part exceeds. It sorts the
+// fairLevel returns the part that no claim's part exceeds. It sorts the
 // claims by what they want.
-func waterLevel(claims []*claim, pool float64) float64 {
+func fairLevel(claims []*claim, pool float64) float64 {
 	slices.SortFunc(claims, func(a, b *claim) int { return cmp.Compare(a.want, b.want) })
 	for i, c := range claims {
 		part := pool / float64(len(claims)-i)
--- a/core/agateshift/lane.go
+++ b/core/agateshift/flow.go
@@ -23,9 +23,9 @@
 	epoch uint64
 }
 
-// lane is the traffic of one service from one region to another.
-type lane struct {
-	key  laneKey
+// flow is the traffic of one service from one region to another.
+type flow struct {
+	key  flowKey
 	dest *dest
 	link *link
 	// allow, requests and bytes are the rule.
@@ -52,9 +52,9 @@
 	size float64
 }
 
-// leastBytes is the least use of bytes that is granted to anyone on the lane:
+// leastBytes is the least use of bytes that is granted to anyone on the flow:
 // one request of the largest size as burst, and a quarter of that as rate.
-func (l *lane) leastBytes() float64 {
+func (l *flow) leastBytes() float64 {
 	size := 0.0
 	for _, s := range l.asks {
 		size = max(size, s.size)
@@ -84,12 +84,12 @@
 type link struct {
 	bytes float64
 	used  float64
-	lanes []*lane
+	flows []*flow
 	at    time.Time
 }
 
 // record notes an ask. It reports whether the divisions must be redone.
-func (l *lane) record(now time.Time, a Ask) (*asked, bool) {
+func (l *flow) record(now time.Time, a Ask) (*asked, bool) {
 	p := processKey{a.Host, a.Epoch}
 	s := l.asks[p]
 	isNew := s == nil
@@ -114,7 +114,7 @@
 }
 
 // forget drops asks that were not renewed.
-func (l *lane) forget(before time.Time) {
+func (l *flow) forget(before time.Time) {
 	for p, s := range l.asks {
 		if s.at.Before(before) {
 			delete(l.asks, p)
@@ -123,7 +123,7 @@
 }
 
 // give counts a new grant.
-func (l *lane) give(g *given) {
+func (l *flow) give(g *given) {
 	h := l.held[g.process]
 	if h == nil {
 		h = &holding{}
@@ -136,7 +136,7 @@
 }
 
 // expire stops counting the grants that have surely ended.
-func (l *lane) expire(now time.Time) {
+func (l *flow) expire(now time.Time) {
 	for len(l.queue) > 0 && !now.Before(l.queue[0].until) {
 		g := l.queue[0]
 		l.queue = l.queue[1:]
@@ -150,7 +150,7 @@
 }
 
 // recount updates the sums after the grants of a holding changed.
-func (l *lane) recount(h *holding) {
+func (l *flow) recount(h *holding) {
 	requests, bytes := 0.0, 0.0
 	for _, g := range h.grants {
 		requests = max(requests, g.requests)
@@ -160,7 +160,7 @@
 	h.requests, h.bytes = requests, bytes
 }
 
-func (l *lane) add(requests, bytes float64) {
+func (l *flow) add(requests, bytes float64) {
 	l.usedRequests += requests
 	l.dest.used += requests
 	l.usedBytes += bytes
--- a/core/agateshift/fuzz_test.go
+++ b/core/agateshift/fuzz_test.go
@@ -44,7 +44,7 @@
 	late        time.Duration
 	sent        []use
 	rooms       []room
-	said        [2]*spoken
+	reports     [2]*lastReport
 }
 
 type fuzzHost struct {
@@ -79,8 +79,8 @@
 	value float64
 }
 
-// spoken is what was last heard from a host in c.
-type spoken struct {
+// lastReport is what was last heard from a host in c.
+type lastReport struct {
 	at            time.Duration
 	capacity, own float64
 }
@@ -197,7 +197,7 @@
 	w.term++
 	w.granter = NewGranter(Config{Now: w.time(), Term: w.term})
 	w.granter.Configure(w.time(), w.inv)
-	w.said = [2]*spoken{}
+	w.reports = [2]*lastReport{}
 }
 
 func (w *world) time() time.Time { return start.Add(w.now) }
@@ -258,8 +258,8 @@
 		}
 		age := w.now - at
 		g.Report(w.time(), fmt.Sprint("c", i), []Demand{{"s", "c", c.capacity, c.own, age}})
-		if s := w.said[i]; s == nil || at >= s.at {
-			w.said[i] = &spoken{at, c.capacity, c.own}
+		if s := w.reports[i]; s == nil || at >= s.at {
+			w.reports[i] = &lastReport{at, c.capacity, c.own}
 		}
 	})
 }
@@ -267,7 +267,7 @@
 // headroom is the oracle's view of what may flow into c.
 func (w *world) headroom() float64 {
 	capacity := math.Inf(1)
-	for _, s := range w.said {
+	for _, s := range w.reports {
 		if s != nil && w.now-s.at <= DefaultMaxAge {
 			capacity = min(capacity, s.capacity)
 		}
@@ -276,7 +276,7 @@
 		return 0
 	}
 	room := capacity * fuzzTarget
-	for _, s := range w.said {
+	for _, s := range w.reports {
 		if s == nil {
 			room -= capacity / 2
 		} else {
--- a/core/agateshift/granter.go
+++ b/core/agateshift/granter.go
@@ -17,7 +17,7 @@
 
 // Config holds the settings of a Granter.
 type Config struct {
-	// Now is when the granter came into office.
+	// Now is when the granter was elected.
 	Now time.Time
 	// Term rises with each granter.
 	Term uint64
@@ -42,7 +42,7 @@
 	latest time.Time
 	inv    *agateinventory.Inventory
 	hosts  hosts
-	lanes  map[laneKey]*lane
+	flows  map[flowKey]*flow
 	dests  map[destKey]*dest
 	links  map[[2]string]*link
 }
@@ -70,7 +70,7 @@
 		ready:  cfg.Now.Add(cfg.Wait),
 		latest: cfg.Now,
 		inv:    &agateinventory.Inventory{},
-		lanes:  map[laneKey]*lane{},
+		flows:  map[flowKey]*flow{},
 		dests:  map[destKey]*dest{},
 		links:  map[[2]string]*link{},
 	}
@@ -86,12 +86,12 @@
 		g.hosts.region[h.Name] = h.Region
 		g.hosts.count[h.Region]++
 	}
-	for _, l := range g.lanes {
+	for _, l := range g.flows {
 		l.allow = false
 	}
 	g.prune(inv)
 	for _, s := range inv.Shifts {
-		l := g.lane(laneKey{s.Service, s.From, s.To})
+		l := g.flow(flowKey{s.Service, s.From, s.To})
 		l.allow = s.Allow && s.From != s.To
 		l.requests = rate(s.Requests)
 		l.bytes = unlimited
@@ -108,27 +108,27 @@
 	g.dirty()
 }
 
-// prune drops the lanes without a rule whose grants have all ended.
+// prune drops the flows without a rule whose grants have all ended.
 func (g *Granter) prune(inv *agateinventory.Inventory) {
-	for k, l := range g.lanes {
+	for k, l := range g.flows {
 		l.expire(g.latest)
 		if len(l.held) > 0 || inv.Shift(k.service, k.from, k.to) != nil {
 			continue
 		}
-		delete(g.lanes, k)
-		l.dest.lanes = without(l.dest.lanes, l)
-		l.link.lanes = without(l.link.lanes, l)
-		if len(l.dest.lanes) == 0 {
+		delete(g.flows, k)
+		l.dest.flows = without(l.dest.flows, l)
+		l.link.flows = without(l.link.flows, l)
+		if len(l.dest.flows) == 0 {
 			delete(g.dests, l.dest.key)
 		}
-		if len(l.link.lanes) == 0 {
+		if len(l.link.flows) == 0 {
 			delete(g.links, [2]string{k.from, k.to})
 		}
 	}
 }
 
-func without(lanes []*lane, l *lane) []*lane {
-	return slices.DeleteFunc(lanes, func(other *lane) bool { return other == l })
+func without(flows []*flow, l *flow) []*flow {
+	return slices.DeleteFunc(flows, func(other *flow) bool { return other == l })
 }
 
 // dirty has all figures and divisions made again before they are used.
@@ -141,19 +141,19 @@
 	}
 }
 
-func (g *Granter) lane(k laneKey) *lane {
-	l := g.lanes[k]
+func (g *Granter) flow(k flowKey) *flow {
+	l := g.flows[k]
 	if l == nil {
-		l = &lane{
+		l = &flow{
 			key:  k,
 			dest: g.dest(destKey{k.service, k.to}),
 			link: g.link(k.from, k.to),
 			asks: map[processKey]*asked{},
 			held: map[processKey]*holding{},
 		}
-		l.dest.lanes = append(l.dest.lanes, l)
-		l.link.lanes = append(l.link.lanes, l)
-		g.lanes[k] = l
+		l.dest.flows = append(l.dest.flows, l)
+		l.link.flows = append(l.link.flows, l)
+		g.flows[k] = l
 	}
 	return l
 }
@@ -208,7 +208,7 @@
 		Term: g.cfg.Term, Host: a.Host, Epoch: a.Epoch, Ask: a.ID,
 		Service: a.Service, From: a.From, To: a.To, Duration: g.cfg.Duration,
 	}
-	l := g.lanes[laneKey{a.Service, a.From, a.To}]
+	l := g.flows[flowKey{a.Service, a.From, a.To}]
 	switch {
 	case l == nil || !l.allow:
 		out.Reason = "no-rule"
@@ -220,11 +220,11 @@
 	return out
 }
 
-func (g *Granter) grant(now time.Time, l *lane, a Ask, out *Grant) {
-	for _, other := range l.dest.lanes {
+func (g *Granter) grant(now time.Time, l *flow, a Ask, out *Grant) {
+	for _, other := range l.dest.flows {
 		other.expire(now)
 	}
-	for _, other := range l.link.lanes {
+	for _, other := range l.link.flows {
 		other.expire(now)
 	}
 	asked, moved := l.record(now, a)
@@ -252,7 +252,7 @@
 }
 
 // holds returns what a process may hold, and its latest grant.
-func (l *lane) holds(p processKey) (holding, given) {
+func (l *flow) holds(p processKey) (holding, given) {
 	h := l.held[p]
 	if h == nil {
 		return holding{}, given{}
@@ -261,7 +261,7 @@
 }
 
 // limit names what left too little for a grant.
-func (l *lane) limit(room float64, reason string, bytes float64) string {
+func (l *flow) limit(room float64, reason string, bytes float64) string {
 	switch {
 	case bytes <= 0:
 		return "bytes"
@@ -302,7 +302,7 @@
 	return min(share, 1)
 }
 
-// divideRequests divides the caps of the lanes to a destination among those
+// divideRequests divides the caps of the flows to a destination among those
 // who asked, and then its headroom among all of them.
 func (g *Granter) divideRequests(now time.Time, d *dest, moved bool) {
 	if !moved && now.Sub(d.at) < refreshTime {
@@ -312,7 +312,7 @@
 	d.refresh(now, &g.hosts, g.cfg.MaxAge)
 	room, _ := d.headroom(now, g.target(d.key.region))
 	var all []*claim
-	for _, l := range d.lanes {
+	for _, l := range d.flows {
 		l.forget(now.Add(-g.cfg.Duration))
 		own := make([]*claim, 0, len(l.asks))
 		for _, s := range l.asks {
@@ -331,7 +331,7 @@
 	k.at = now
 	var all []*claim
 	least := 0.0
-	for _, l := range k.lanes {
+	for _, l := range k.flows {
 		own := make([]*claim, 0, len(l.asks))
 		for _, s := range l.asks {
 			own = append(own, &s.bytes)
@@ -342,7 +342,7 @@
 	divideAgain(all, k.bytes, least)
 }
 
-// stage divides one lane's cap.
+// stage divides one flow's cap.
 func stage(claims []*claim, pool, least float64) []*claim {
 	divide(claims, pool, least)
 	return claims
--- a/core/agateshift/grants_test.go
+++ b/core/agateshift/grants_test.go
@@ -202,7 +202,7 @@
 }
 
 // Guards against grants in use that the granter does not count: those of
-// another process, of a deposed granter, and those that arrive late or twice.
+// another process, of a former granter, and those that arrive late or twice.
 func TestAccept(t *testing.T) {
 	h := NewHolder(HolderConfig{Host: "a1", Epoch: 7})
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -238,16 +238,16 @@
 	assert.Equal(t, accept(10, other), 20.0, "an unknown ask")
 	other = grant(4, 50)
 	other.Term = 2
-	assert.Equal(t, accept(10, other), 20.0, "a deposed granter")
+	assert.Equal(t, accept(10, other), 20.0, "a former granter")
 	assert.Equal(t, accept(20, grant(3, 60)), 60.0)
 	assert.Equal(t, accept(1900, grant(4, 70)), 0.0, "an ended grant")
 	for range 2 * maxPending {
 		h.Ask(at(2000), "s", "a", "c", 1, 1, 0)
 	}
-	assert.Equal(t, len(h.lanes[laneKey{"s", "a", "c"}].pending), maxPending)
+	assert.Equal(t, len(h.flows[flowKey{"s", "a", "c"}].pending), maxPending)
 }
 
-// Guards against grants that are forgotten, or lanes that are kept for good,
+// Guards against grants that are forgotten, or flows that are kept for good,
 // when their rule goes.
 func TestRuleGone(t *testing.T) {
 	with := func(from string) *agateinventory.Inventory {
@@ -270,9 +270,9 @@
 	assert.Assert(t, g.dests[destKey{"s", "c"}].used >= 5, "the grant still counts")
 	now = now.Add(3 * time.Second)
 	g.Configure(now, with("b"))
-	assert.Equal(t, len(g.lanes), 1)
+	assert.Equal(t, len(g.flows), 1)
 	g.Configure(now, &agateinventory.Inventory{})
-	assert.Equal(t, len(g.lanes)+len(g.dests)+len(g.links), 0)
+	assert.Equal(t, len(g.flows)+len(g.dests)+len(g.links), 0)
 }
 
 // BenchmarkGrant measures one ask with many hosts that ask.
--- a/core/agateshift/holder.go
+++ b/core/agateshift/holder.go
@@ -31,7 +31,7 @@
 	next   uint64
 	term   uint64
 	latest time.Time
-	lanes  map[laneKey]*held
+	flows  map[flowKey]*held
 }
 
 // held is what a Holder has for one service and pair of regions.
@@ -47,7 +47,7 @@
 
 // NewHolder returns a Holder without grants.
 func NewHolder(cfg HolderConfig) *Holder {
-	return &Holder{cfg: cfg, lanes: map[laneKey]*held{}}
+	return &Holder{cfg: cfg, flows: map[flowKey]*held{}}
 }
 
 // Ask returns an ask for rates of requests and bytes per second, under which
@@ -58,11 +58,11 @@
 	defer h.mu.Unlock()
 	now = h.clock(now)
 	h.next++
-	k := laneKey{service, from, to}
-	l := h.lanes[k]
+	k := flowKey{service, from, to}
+	l := h.flows[k]
 	if l == nil {
 		l = &held{pending: map[uint64]time.Time{}}
-		h.lanes[k] = l
+		h.flows[k] = l
 	}
 	delete(l.pending, h.next-maxPending)
 	l.pending[h.next] = now
@@ -81,7 +81,7 @@
 	if g.Host != h.cfg.Host || g.Epoch != h.cfg.Epoch || g.Term < h.term {
 		return
 	}
-	l := h.lanes[laneKey{g.Service, g.From, g.To}]
+	l := h.flows[flowKey{g.Service, g.From, g.To}]
 	if l == nil {
 		return
 	}
@@ -120,7 +120,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now = h.clock(now)
-	l := h.lanes[laneKey{service, from, to}]
+	l := h.flows[flowKey{service, from, to}]
 	if l == nil || !now.Before(l.ends) {
 		return false
 	}
@@ -140,7 +140,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now = h.clock(now)
-	l := h.lanes[laneKey{service, from, to}]
+	l := h.flows[flowKey{service, from, to}]
 	if l == nil || !now.Before(l.ends) {
 		return 0, 0, time.Time{}
 	}
@@ -151,7 +151,7 @@
 // overtake each other, all grants end.
 func (h *Holder) clock(now time.Time) time.Time {
 	if h.latest.Sub(now) > stepBack {
-		h.lanes = map[laneKey]*held{}
+		h.flows = map[flowKey]*held{}
 		h.latest = now
 	}
 	if now.After(h.latest) {
--- a/core/agateshift/shift.go
+++ b/core/agateshift/shift.go
@@ -112,8 +112,8 @@
 	Reason string
 }
 
-// laneKey names the traffic that a shift allows.
-type laneKey struct {
+// flowKey names the traffic that a shift allows.
+type flowKey struct {
 	service string
 	from    string
 	to      string
--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -38,8 +38,8 @@
 	budget int64
 	// ended is set once the peer, not this process, ended the connection.
 	ended bool
-	// shut is set once this process has closed the connection.
-	shut atomic.Bool
+	// closed is set once this process has closed the connection.
+	closed atomic.Bool
 }
 
 func newDialer(userTimeout, timeout time.Duration) *net.Dialer {
@@ -81,7 +81,7 @@
 		c.life = time.Now()
 		c.budget -= int64(n)
 	}
-	if err != nil && !isTimeout(err) && !c.shut.Load() {
+	if err != nil && !isTimeout(err) && !c.closed.Load() {
 		c.ended = true
 	}
 	return n, err
@@ -105,7 +105,7 @@
 }
 
 func (c *conn) close() {
-	c.shut.Store(true)
+	c.closed.Store(true)
 	_ = c.tcp.Close() // nothing depends on a clean end
 }
 
--- a/io/agateupstream/pool.go
+++ b/io/agateupstream/pool.go
@@ -132,7 +132,8 @@
 	}
 }
 
-// Forget closes the idle connections to an upstream and drops its share.
+// Forget closes the idle connections to an upstream and drops its share. It is
+// to be called when an upstream leaves, or its state stays in memory.
 func (p *Pool) Forget(id string) {
 	p.mu.Lock()
 	u := p.upstreams[id]
@@ -222,8 +223,8 @@
 	x.join()
 	reusable := stop() && x.reusable
 	if x.silent {
-		// The path that swallowed this request may have swallowed the idle
-		// connections too.
+		// The fault that lost this request may affect the idle connections
+		// too.
 		u.closeIdle(x.wrote)
 	}
 	if x.broke(r) {
--- a/io/agateupstream/pool_test.go
+++ b/io/agateupstream/pool_test.go
@@ -139,8 +139,8 @@
 	assert.Equal(t, string(p.Do(t.Context(), get(s.addr, "/2")).Body), "/2")
 }
 
-// Guards against late results of an answer being awaited past the deadline
-// being lost: Grace extends the wait, not the time told to the upstream.
+// Guards against the loss of answers that come shortly after the deadline:
+// Grace extends the wait, but not the time that the upstream is told.
 func TestGrace(t *testing.T) {
 	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
 		ms, _ := strconv.Atoi(r.Header.Get("Agate-Deadline-Ms"))
--- a/io/agateupstream/standin_test.go
+++ b/io/agateupstream/standin_test.go
@@ -134,7 +134,7 @@
 		n, err := from.Read(b)
 		select {
 		case <-frozen:
-			swallow(from)
+			discard(from)
 			return
 		default:
 		}
@@ -146,8 +146,8 @@
 	}
 }
 
-// swallow reads what still arrives, so that TCP acknowledges it.
-func swallow(from net.Conn) { io.Copy(io.Discard, from) }
+// discard reads what still arrives, so that TCP acknowledges it.
+func discard(from net.Conn) { io.Copy(io.Discard, from) }
 
 func (r *relay) freeze() {
 	r.mu.Lock()
