--- a/core/agateshift/grants_test.go
+++ b/core/agateshift/grants_test.go
@@ -35,6 +35,8 @@
 	granter *Granter
 	holders map[string]*Holder
 	epoch   uint64
+	// size is that of asks in bytes.
+	size int64
 	// keep and wants are renewed each 250 ms by settle.
 	keep  [][]string
 	wants [][]string
@@ -90,7 +92,9 @@
 		}
 		h := s.holder(f[1])
 		late, _ := time.ParseDuration(append(f, "0s")[6])
-		h.Accept(s.now.Add(late), s.granter.Grant(s.now, h.Ask(s.now, "shift", f[2], f[3], s.num(f[4]), s.num(f[5]))))
+		h.Accept(s.now.Add(late), s.granter.Grant(s.now, h.Ask(s.now, "shift", f[2], f[3], s.num(f[4]), s.num(f[5]), s.size)))
+	case "size":
+		s.size = int64(s.num(f[1]))
 	case "restart":
 		delete(s.holders, f[1])
 	case "take":
@@ -108,7 +112,7 @@
 	}
 	s.granter = NewGranter(Config{Now: start, Term: 1})
 	s.holders = map[string]*Holder{}
-	s.keep, s.wants = nil, nil
+	s.keep, s.wants, s.size = nil, nil, 0
 }
 
 func (s *script) num(x string) float64 {
@@ -138,7 +142,7 @@
 
 func (s *script) grant(f []string) Grant {
 	service := "shift" + strings.TrimLeft(f[0], "askwnt")
-	a := s.holder(f[1]).Ask(s.now, service, f[2], f[3], s.num(f[4]), s.num(f[5]))
+	a := s.holder(f[1]).Ask(s.now, service, f[2], f[3], s.num(f[4]), s.num(f[5]), s.size)
 	return s.granter.Grant(s.now, a)
 }
 
@@ -198,13 +202,13 @@
 }
 
 // Guards against grants in use that the granter does not count: those of
-// another process, of a deposed granter, and those that arrive late or twice.
+// another process, of a former granter, and those that arrive late or twice.
 func TestAccept(t *testing.T) {
 	h := NewHolder(HolderConfig{Host: "a1", Epoch: 7})
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	var asks []Ask
 	for range 5 {
-		asks = append(asks, h.Ask(at(0), "s", "a", "c", 100, 1e6))
+		asks = append(asks, h.Ask(at(0), "s", "a", "c", 100, 1e6, 0))
 	}
 	grant := func(i int, rate float64) Grant {
 		return Grant{
@@ -234,16 +238,16 @@
 	assert.Equal(t, accept(10, other), 20.0, "an unknown ask")
 	other = grant(4, 50)
 	other.Term = 2
-	assert.Equal(t, accept(10, other), 20.0, "a deposed granter")
+	assert.Equal(t, accept(10, other), 20.0, "a former granter")
 	assert.Equal(t, accept(20, grant(3, 60)), 60.0)
 	assert.Equal(t, accept(1900, grant(4, 70)), 0.0, "an ended grant")
 	for range 2 * maxPending {
-		h.Ask(at(2000), "s", "a", "c", 1, 1)
+		h.Ask(at(2000), "s", "a", "c", 1, 1, 0)
 	}
-	assert.Equal(t, len(h.lanes[laneKey{"s", "a", "c"}].pending), maxPending)
+	assert.Equal(t, len(h.flows[flowKey{"s", "a", "c"}].pending), maxPending)
 }
 
-// Guards against grants that are forgotten, or lanes that are kept for good,
+// Guards against grants that are forgotten, or flows that are kept for good,
 // when their rule goes.
 func TestRuleGone(t *testing.T) {
 	with := func(from string) *agateinventory.Inventory {
@@ -266,9 +270,9 @@
 	assert.Assert(t, g.dests[destKey{"s", "c"}].used >= 5, "the grant still counts")
 	now = now.Add(3 * time.Second)
 	g.Configure(now, with("b"))
-	assert.Equal(t, len(g.lanes), 1)
+	assert.Equal(t, len(g.flows), 1)
 	g.Configure(now, &agateinventory.Inventory{})
-	assert.Equal(t, len(g.lanes)+len(g.dests)+len(g.links), 0)
+	assert.Equal(t, len(g.flows)+len(g.dests)+len(g.links), 0)
 }
 
 // BenchmarkGrant measures one ask with many hosts that ask.
--- a/core/agateshift/holder.go
+++ b/core/agateshift/holder.go
@@ -31,7 +31,7 @@
 	next   uint64
 	term   uint64
 	latest time.Time
-	lanes  map[laneKey]*held
+	flows  map[flowKey]*held
 }
 
 // held is what a Holder has for one service and pair of regions.
@@ -47,27 +47,28 @@
 
 // NewHolder returns a Holder without grants.
 func NewHolder(cfg HolderConfig) *Holder {
-	return &Holder{cfg: cfg, lanes: map[laneKey]*held{}}
+	return &Holder{cfg: cfg, flows: map[flowKey]*held{}}
 }
 
-// Ask returns an ask for rates of requests and bytes per second. A grant
-// counts from the time of its ask, so the ask should be sent at once.
-func (h *Holder) Ask(now time.Time, service, from, to string, requests, bytes float64) Ask {
+// Ask returns an ask for rates of requests and bytes per second, under which
+// requests of up to size bytes must get through. A larger size takes more of
+// what there is: it is kept free in each second. A grant counts from the time of its ask, so the ask should be sent at once.
+func (h *Holder) Ask(now time.Time, service, from, to string, requests, bytes float64, size int64) Ask {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now = h.clock(now)
 	h.next++
-	k := laneKey{service, from, to}
-	l := h.lanes[k]
+	k := flowKey{service, from, to}
+	l := h.flows[k]
 	if l == nil {
 		l = &held{pending: map[uint64]time.Time{}}
-		h.lanes[k] = l
+		h.flows[k] = l
 	}
 	delete(l.pending, h.next-maxPending)
 	l.pending[h.next] = now
 	return Ask{
 		Host: h.cfg.Host, Epoch: h.cfg.Epoch, ID: h.next,
-		Service: service, From: from, To: to, Requests: requests, Bytes: bytes,
+		Service: service, From: from, To: to, Requests: requests, Bytes: bytes, Size: float64(size),
 	}
 }
 
@@ -80,7 +81,7 @@
 	if g.Host != h.cfg.Host || g.Epoch != h.cfg.Epoch || g.Term < h.term {
 		return
 	}
-	l := h.lanes[laneKey{g.Service, g.From, g.To}]
+	l := h.flows[flowKey{g.Service, g.From, g.To}]
 	if l == nil {
 		return
 	}
@@ -102,8 +103,8 @@
 		l.requests, l.bytes = bucket{}, bucket{}
 	}
 	l.ends = asked.Add(lifetime(g.Duration))
-	l.requests.set(now, rate(g.Requests), requestBurst)
-	l.bytes.set(now, rate(g.Bytes), byteBurst)
+	l.requests.set(now, rate(g.Requests), oneRequest)
+	l.bytes.set(now, rate(g.Bytes), rate(g.Size))
 }
 
 // lifetime returns how long a grant may be used by a clock that may be slower
@@ -119,12 +120,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now = h.clock(now)
-	l := h.lanes[laneKey{service, from, to}]
+	l := h.flows[flowKey{service, from, to}]
 	if l == nil || !now.Before(l.ends) {
 		return false
 	}
-	l.requests.refill(now, requestBurst)
-	l.bytes.refill(now, byteBurst)
+	l.requests.refill(now)
+	l.bytes.refill(now)
 	size := max(float64(bytes), 0)
 	if l.requests.level < 1 || l.bytes.level < size {
 		return false
@@ -139,7 +140,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now = h.clock(now)
-	l := h.lanes[laneKey{service, from, to}]
+	l := h.flows[flowKey{service, from, to}]
 	if l == nil || !now.Before(l.ends) {
 		return 0, 0, time.Time{}
 	}
@@ -150,7 +151,7 @@
 // overtake each other, all grants end.
 func (h *Holder) clock(now time.Time) time.Time {
 	if h.latest.Sub(now) > stepBack {
-		h.lanes = map[laneKey]*held{}
+		h.flows = map[flowKey]*held{}
 		h.latest = now
 	}
 	if now.After(h.latest) {
@@ -162,20 +163,20 @@
 // bucket is a token bucket.
 type bucket struct {
 	rate  float64
+	least float64
 	level float64
 	at    time.Time
 }
 
 // set changes the rate. Tokens stay, within the new size, so that a renewed
 // grant brings no new burst; a first grant starts without tokens.
-func (b *bucket) set(now time.Time, rate float64, burst func(float64) float64) {
-	b.refill(now, burst)
-	b.rate = rate
-	b.level = min(b.level, burst(rate))
-	b.at = now
+func (b *bucket) set(now time.Time, rate, least float64) {
+	b.refill(now)
+	b.rate, b.least = rate, least
+	b.level = min(b.level, burst(rate, least))
 }
 
-func (b *bucket) refill(now time.Time, burst func(float64) float64) {
-	b.level = min(b.level+b.rate*now.Sub(b.at).Seconds(), burst(b.rate))
+func (b *bucket) refill(now time.Time) {
+	b.level = min(b.level+b.rate*now.Sub(b.at).Seconds(), burst(b.rate, b.least))
 	b.at = now
 }
