--- a/io/agatecontrol/grant.go
+++ b/io/agatecontrol/grant.go
@@ -48,6 +48,7 @@
 			To:       a.To,
 			Requests: a.Requests,
 			Bytes:    a.Bytes,
+			Size:     a.Size,
 		})
 		c.noteGrant(now, granted)
 		out = append(out, &agatewire.Grant{
--- a/io/agateentry/shift.go
+++ b/io/agateentry/shift.go
@@ -20,6 +20,9 @@
 	// firstBytes is the size assumed for a request and its answer while none
 	// was measured.
 	firstBytes = 4096.0
+	// sizeSlack is how much larger than the mean of now a request may count
+	// before the next ask.
+	sizeSlack = 2.0
 	// bytesWeight is the weight of a new size in the mean.
 	bytesWeight = 0.05
 	// kickEvery bounds the heartbeats that a missing grant causes.
@@ -126,7 +129,7 @@
 			continue
 		}
 		rate := max(askLeast, n.rate*askMargin)
-		a := s.holder.Ask(now, l.service, l.from, l.to, rate, rate*s.size(l.service))
+		a := s.holder.Ask(now, l.service, l.from, l.to, rate, rate*s.size(l.service), int64(sizeSlack*s.size(l.service)))
 		out = append(out, &agatewire.GrantAsk{
 			Id:       a.ID,
 			Service:  a.Service,
@@ -134,6 +137,7 @@
 			To:       a.To,
 			Requests: a.Requests,
 			Bytes:    a.Bytes,
+			Size:     a.Size,
 		})
 	}
 	return out
