--- a/core/agateaction/control.go
+++ b/core/agateaction/control.go
@@ -30,9 +30,6 @@
 		a.phase = ended
 		return a.reply(replyTo(r))
 	}
-	if now >= a.deadline {
-		return append(a.release(now, Refusal{}), a.late()...)
-	}
 	a.phase = waiting
 	return []Command{{Kind: Dispatch}}
 }
--- a/core/agateaction/fuzz_test.go
+++ b/core/agateaction/fuzz_test.go
@@ -16,8 +16,8 @@
 // them.
 func TestMain(m *testing.M) {
 	for name, value := range map[string]string{
-		"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "1000", "rapid.steps": "120",
-		"rapid.shrinktime": "5s",
+		"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "3000", "rapid.steps": "120",
+		"rapid.shrinktime": "1s",
 	} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
@@ -79,8 +79,7 @@
 			r := pick(t, s.requests, func(r *request) bool { return r.dispatched && r.up() })
 			switch rapid.IntRange(0, 7).Draw(t, "admission") {
 			case 0:
-				r.dispatched = false
-				s.do(r, r.a.NotAdmitted(s.now, refusal))
+				s.deny(r)
 			case 1:
 				r.dispatched = false
 				s.do(r, r.a.AttemptEnded(s.now, notStarted))
@@ -97,8 +96,11 @@
 		},
 		"leave": func(t *rapid.T) {
 			r := pick(t, s.requests, func(r *request) bool { return r.a != nil && r.up() && len(r.replies) == 0 })
-			if rapid.IntRange(0, 3).Draw(t, "leave") == 0 {
+			switch rapid.IntRange(0, 7).Draw(t, "leave") {
+			case 0:
 				s.leave(r)
+			case 1:
+				s.deny(r)
 			}
 		},
 		"freeze": func(t *rapid.T) {
--- a/core/agateaction/sim_test.go
+++ b/core/agateaction/sim_test.go
@@ -45,6 +45,7 @@
 	repliedAt    time.Duration
 	dispatched   bool // waits for an upstream
 	gone         bool // its caller left
+	committed    bool // "not run" was committed and its host knows
 	runs         int
 }
 
@@ -140,6 +141,7 @@
 // answer lets the result of a call reach its host.
 func (s *sim) answer(c *call) {
 	c.open = false
+	c.r.committed = c.r.committed || c.result.Verdict.NotRun()
 	c.r.host.seen.Learn(s.now, c.result.Index)
 	s.do(c.r, c.r.a.Answered(s.now, c.cmd.Kind, *c.result))
 }
@@ -225,6 +227,9 @@
 	if len(r.replies) > 1 {
 		s.broken("two replies to one request for %s", r.key)
 	}
+	if reply.Outcome == agateaction.NotRun && !r.committed {
+		s.broken("%q for key %s is not committed", reply.Reason, r.key)
+	}
 	ran := false
 	for _, other := range s.requests {
 		if other.key != r.key || other.runs == 0 || other.payload != r.payload {
@@ -297,6 +302,12 @@
 	r.gone = true
 }
 
+// deny refuses a request before it is written.
+func (s *sim) deny(r *request) {
+	r.dispatched = false
+	s.do(r, r.a.NotAdmitted(s.now, refusal))
+}
+
 // kill ends a host and replaces it by a new process under the same name,
 // which reads the newest index before it takes requests.
 func (s *sim) kill(h *simHost) {
--- a/core/agatestate/command.go
+++ b/core/agatestate/command.go
@@ -63,7 +63,8 @@
 	// Deadline is the caller's time left.
 	Deadline time.Duration
 	// Seen is the highest applied log index that the entry host knew when
-	// the caller's request arrived.
+	// the caller's request arrived. A claim is refused if it is below the
+	// index of the key's last refusal. See agateaction.Seen.
 	Seen uint64
 }
 
