agateaction: Seen is safe for concurrent use

Cause: requests and heartbeats of an entry host learn and ask for the index in different goroutines. Change: a mutex. Conclusion: an entry host can share one Seen.

--- a/core/agateaction/seen.go
+++ b/core/agateaction/seen.go
@@ -1,6 +1,9 @@
 package agateaction
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Copies of one request may reach several hosts. "Not run" about one of
 // them holds for the others because a claim is refused if its host had not
@@ -19,8 +22,11 @@
 )
 
 // Seen tells which log index counts as seen when a request arrives. The
-// zero value knows nothing. One goroutine uses it.
+// zero value knows nothing; a host that just started and learned an index
+// has its claims refused for SeenLag if anything was refused before. It is
+// safe for concurrent use.
 type Seen struct {
+	mu      sync.Mutex
 	index   uint64
 	samples []sample
 }
@@ -32,8 +38,10 @@
 }
 
 // Learn notes an applied log index that the host learned now, from a result
-// or a heartbeat.
+// or a heartbeat. now is the time at which the answer arrived.
 func (s *Seen) Learn(now time.Duration, index uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	n := len(s.samples)
 	if n > 0 && index <= s.samples[n-1].index || index <= s.index {
 		return
@@ -47,6 +55,8 @@
 
 // At returns the index that counts as seen by a request that arrives now.
 func (s *Seen) At(now time.Duration) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for len(s.samples) > 0 && s.samples[0].until+SeenLag <= now {
 		s.index = s.samples[0].index
 		s.samples = s.samples[1:]
