agateentry: a restarted host answers once it knows upstreams and the log

Change: look-ups of peers leave a host out until it is ready; it is ready once a peer has sent its whole upstream table and an index of the log counts as seen; claims carry agateaction.Seen; the deadline is checked once more in the goroutine that writes; actions are refused at once when no control leader has answered for 3 s.

--- a/io/agateentry/action.go
+++ b/io/agateentry/action.go
@@ -35,6 +35,8 @@
 	failure *agateupstream.Reply
 	// cancel ends the attempt that runs.
 	cancel context.CancelFunc
+	// deadline is the caller's, by agateclock.
+	deadline time.Duration
 	// request collects the upstreams that were tried, last how the last
 	// attempt ended.
 	request agateroute.Request
@@ -45,6 +47,9 @@
 // act runs a call that must not repeat. The action goes on after the reply:
 // its answer is recorded, or still awaited when the deadline has passed.
 func (e *Entry) act(ctx context.Context, cl *call) reply {
+	if e.controlGone() {
+		return refusal(http.StatusServiceUnavailable, outcomeUnknown, "control", minRetryAfter)
+	}
 	left := time.Until(cl.deadline)
 	a := &actor{
 		e:  e,
@@ -62,11 +67,12 @@
 			// Half of the time is left for the upstream.
 			Claim: left / 2,
 		}),
-		events:  make(chan func(now time.Duration) []agateaction.Command),
-		reply:   make(chan reply, 1),
-		done:    make(chan struct{}),
-		cancel:  func() {},
-		request: cl.request(),
+		events:   make(chan func(now time.Duration) []agateaction.Command),
+		reply:    make(chan reply, 1),
+		done:     make(chan struct{}),
+		cancel:   func() {},
+		deadline: agateclock.Now() + left,
+		request:  cl.request(),
 	}
 	e.records.Go(a.run)
 	select {
@@ -256,7 +262,8 @@
 		answer <- write
 		return commands
 	})
-	return posted && <-answer
+	// The host may have been frozen while the answer was on its way here.
+	return posted && <-answer && agateclock.Now() < a.deadline
 }
 
 // conclusive returns the answer that proves that the action ran. Errors of
--- a/io/agateentry/beat.go
+++ b/io/agateentry/beat.go
@@ -6,6 +6,7 @@
 
 	"agategate/core/agateroute"
 	"agategate/core/agateshift"
+	"agategate/internal/agateclock"
 	"agategate/io/agatewire"
 )
 
@@ -54,6 +55,7 @@
 		e.metrics.beat(false)
 		return
 	}
+	e.heard.Store(int64(agateclock.Now()))
 	e.metrics.beat(true)
 	now := time.Now()
 	e.learnIndex(reply.Applied)
@@ -65,15 +67,20 @@
 	}
 }
 
+// controlLost is the time without an answer of the leader after which actions
+// are refused at once. An election takes less.
+const controlLost = 3 * time.Second
+
+// controlGone reports whether no leader of the control group has answered for
+// so long that none of an action's commands would be committed in time.
+func (e *Entry) controlGone() bool {
+	return agateclock.Now()-time.Duration(e.heard.Load()) > controlLost
+}
+
 // learnIndex keeps the newest log index that this host knows. Claims carry
 // the index known when their request arrived.
 func (e *Entry) learnIndex(index uint64) {
-	for {
-		old := e.seen.Load()
-		if index <= old || e.seen.CompareAndSwap(old, index) {
-			return
-		}
-	}
+	e.seen.Learn(agateclock.Now(), index)
 }
 
 func (b *beats) ask(now time.Time) *agatewire.BeatAsk {
@@ -84,7 +91,7 @@
 		Domain:   e.cfg.Settings.Domain,
 		Caller:   e.cfg.Settings.Caller.String(),
 		Peer:     e.cfg.Settings.Peer.String(),
-		Draining: e.draining.Load(),
+		Draining: e.absent(),
 		Load:     e.load(),
 		Suspects: e.suspects.index(),
 		Asks:     e.shift.asks(now),
--- a/io/agateentry/call.go
+++ b/io/agateentry/call.go
@@ -15,6 +15,7 @@
 
 	"agategate/core/agateinventory"
 	"agategate/core/agateroute"
+	"agategate/internal/agateclock"
 )
 
 // Headers towards callers and upstreams.
@@ -152,7 +153,7 @@
 		class:    service.Classify(r.Method, path),
 		arrived:  arrived,
 		deadline: arrived.Add(left),
-		seen:     e.seen.Load(),
+		seen:     e.seen.At(agateclock.Now()),
 	}
 	if r.URL.RawQuery != "" {
 		cl.path += "?" + r.URL.RawQuery
--- a/io/agateentry/configure.go
+++ b/io/agateentry/configure.go
@@ -4,13 +4,20 @@
 	"context"
 	"time"
 
+	"agategate/core/agateaction"
 	"agategate/core/agateinventory"
+	"agategate/core/agateroute"
+	"agategate/internal/agateclock"
 )
 
 // readyPause is the pause between two tries to learn the newest configuration
 // at start.
 const readyPause = 100 * time.Millisecond
 
+// peersTime bounds the wait for a peer's upstream table at start: two
+// intervals of announcements.
+const peersTime = 2 * agateroute.DefaultInterval
+
 // configured is a configuration in force.
 type configured struct {
 	revision uint64
@@ -57,7 +64,11 @@
 		if err == nil {
 			e.install(reply.Revision, reply.Document, reply.Change, "control")
 			if reply.Revision == 0 || e.config.Load().revision >= reply.Revision {
+				e.awaitPeers(ctx)
+				e.awaitSeen(ctx)
 				e.ready.Store(true)
+				e.exchange.kick()
+				e.beats.kick()
 				e.log.Info("ready", "revision", reply.Revision)
 				return
 			}
@@ -69,6 +80,39 @@
 	}
 }
 
+// awaitSeen waits until an index of the log counts as seen. Before that the
+// claims of this host would be refused for every key that any host refused
+// lately.
+func (e *Entry) awaitSeen(ctx context.Context) {
+	limit := time.NewTimer(peersTime + agateaction.SeenLag)
+	defer limit.Stop()
+	for e.seen.At(agateclock.Now()) == 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit.C:
+			return
+		case <-time.After(readyPause / 10):
+		}
+	}
+}
+
+// awaitPeers waits until a peer has sent its upstream table, or until the
+// upstreams have announced themselves in any case.
+func (e *Entry) awaitPeers(ctx context.Context) {
+	limit := time.NewTimer(peersTime)
+	defer limit.Stop()
+	for !e.informed.Load() && len(e.inventory.Load().Hosts) > 1 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit.C:
+			return
+		case <-time.After(readyPause / 10):
+		}
+	}
+}
+
 // fetch asks the control group for a configuration that a heartbeat named.
 func (e *Entry) fetch(ctx context.Context) {
 	one, cancel := context.WithTimeout(ctx, e.cfg.Settings.Wait.Control)
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc"
 
+	"agategate/core/agateaction"
 	"agategate/core/agateinventory"
 	"agategate/core/agateroute"
 	"agategate/internal/agateserve"
@@ -75,12 +76,17 @@
 	config     atomic.Pointer[configured]
 	installing sync.Mutex
 	ready      atomic.Bool
-	draining   atomic.Bool
-	seen       atomic.Uint64
-	bodies     atomic.Int64
-	used       atomic.Pointer[[]agateroute.Usage]
-	hedges     hedgeTimes
-	states     stateMap
+	// informed says that a peer has sent its whole upstream table.
+	informed atomic.Bool
+	draining atomic.Bool
+	seen     agateaction.Seen
+	bodies   atomic.Int64
+	// heard is when the control leader last answered a heartbeat, by
+	// agateclock.
+	heard  atomic.Int64
+	used   atomic.Pointer[[]agateroute.Usage]
+	hedges hedgeTimes
+	states stateMap
 
 	router    *router
 	pool      *agateupstream.Pool
@@ -223,6 +229,10 @@
 // callers.
 func (e *Entry) Ready() bool { return e.ready.Load() && !e.draining.Load() }
 
+// absent reports whether look-ups must not name this host: it stops, or it
+// does not answer callers yet.
+func (e *Entry) absent() bool { return e.draining.Load() || !e.ready.Load() }
+
 // Revision returns the configuration revision in force, or 0.
 func (e *Entry) Revision() uint64 { return e.config.Load().revision }
 
--- a/io/agateentry/exchange.go
+++ b/io/agateentry/exchange.go
@@ -193,9 +193,10 @@
 		Region:   e.cfg.Settings.Region,
 		Domain:   e.cfg.Settings.Domain,
 		Caller:   e.cfg.Settings.Caller.String(),
-		Draining: e.draining.Load(),
+		Draining: e.absent(),
 		Load:     e.load(),
 		Version:  out.Version,
+		Base:     p.acked,
 		Suspects: e.suspects.export(),
 	}
 	for i := range out.Announcements {
@@ -261,12 +262,15 @@
 		})
 	}
 	e.router.do(func(now time.Time) { e.router.table.Merge(now, in) })
+	if ask.Base == 0 {
+		e.informed.Store(true)
+	}
 	e.suspects.merge(ask.Suspects)
 	e.directory.heardPeer(time.Now(), ask.Sender, ask.Draining, ask.Load)
 	reply := &agatewire.ExchangeReply{
 		Sender:   e.identity(),
 		Known:    ask.Version,
-		Draining: e.draining.Load(),
+		Draining: e.absent(),
 		Load:     e.load(),
 	}
 	cur := e.config.Load()
--- a/io/agateentry/lookup.go
+++ b/io/agateentry/lookup.go
@@ -109,7 +109,7 @@
 	out := agatelookup.Host{Name: h.Name, Region: h.Region, Domain: h.Domain, Caller: h.Caller}
 	if h.Name == l.e.cfg.Settings.Name {
 		out.Heard = now
-		out.Draining = l.e.draining.Load()
+		out.Draining = l.e.absent()
 		return out
 	}
 	row, ok := l.e.directory.get(h.Name)
