agatelookup: second host by what each host has free

Under a staged drain the hosts of one failure domain are not equally full, and the callers of another, lost domain overloaded the fuller ones. The choice within the domain now goes by each host's room.

That the room counts to the fill after the loss, and not to the fill before it, was not noticed by any test.

--- a/core/agatelookup/choose.go
+++ b/core/agatelookup/choose.go
@@ -151,7 +151,7 @@
 			best, least = d, s
 		}
 	}
-	return best.host(client, saltSecond)
+	return best.host(client, saltSecond, first.domain.full)
 }
 
 // third returns a host in a region that neither of the others is in, or else
@@ -173,17 +173,16 @@
 			}
 		}
 		if best != nil {
-			return best.host(client, saltThird)
+			return best.host(client, saltThird, best.fill)
 		}
 	}
 	return nil
 }
 
-// host returns a host of the domain, by capacity less drains.
-func (d *domain) host(client, salt uint64) *host {
-	return pick(client, salt, d.hosts, func(h *host) (uint64, float64) {
-		return h.hash, h.Capacity * (1 - h.drained)
-	})
+// host returns a host of the domain, by what it has free when it may be full
+// up to a fraction of its capacity.
+func (d *domain) host(client, salt uint64, full float64) *host {
+	return pick(client, salt, d.hosts, func(h *host) (uint64, float64) { return h.hash, h.spare(full) })
 }
 
 // pick returns one of a list by weighted rendezvous hashing. If no weight is
--- a/core/agatelookup/plan.go
+++ b/core/agatelookup/plan.go
@@ -1,7 +1,7 @@
 package agatelookup
 
-// spareLeast is the part of its capacity with which a full domain still counts
-// as a third choice, so that not all clients get the same one.
+// spareLeast is the part of its capacity with which a full domain or host still
+// counts as a further choice, so that not all clients get the same one.
 const spareLeast = 0.01
 
 // weigh sets each host's part of the region's callers: its capacity, less what
@@ -11,10 +11,9 @@
 	for _, d := range r.domains {
 		for _, h := range d.hosts {
 			r.capacity += h.Capacity
-			d.capacity += h.Capacity
-			d.kept += h.Capacity * (1 - h.drained)
+			d.kept += h.kept()
 			if h.drained > 0 {
-				kept += h.Capacity * (1 - h.drained)
+				kept += h.kept()
 			} else {
 				whole += h.Capacity
 			}
@@ -29,7 +28,7 @@
 	for _, d := range r.domains {
 		for _, h := range d.hosts {
 			if h.drained > 0 {
-				h.weight = h.Capacity * (1 - h.drained)
+				h.weight = h.kept()
 			} else {
 				h.weight = h.Capacity * more
 			}
@@ -70,6 +69,11 @@
 		if d.region.weight > 0 {
 			d.load = d.region.load * d.weight / d.region.weight
 		}
+		for _, h := range d.hosts {
+			if d.weight > 0 {
+				h.load = d.load * h.weight / d.weight
+			}
+		}
 	}
 }
 
@@ -77,20 +81,22 @@
 // callers: those of the same region as far as they have room, and beyond that
 // the others, in proportion to what they have free.
 func (p *plan) planSpill(fill float64) {
-	load, capacity := 0.0, 0.0
+	load, kept := 0.0, 0.0
 	for _, d := range p.domains {
 		load += d.load
-		capacity += d.capacity
+		kept += d.kept
 	}
 	for _, lost := range p.domains {
 		full := fill
-		if rest := capacity - lost.capacity; rest > 0 {
+		if rest := kept - lost.kept; rest > 0 {
 			full = max(full, load/rest)
 		}
+		lost.full = full
 		p.spillOf(lost, full)
 	}
 	for _, d := range p.domains {
 		d.spare = d.room(fill) + spareLeast*d.kept
+		d.fill = fill
 	}
 }
 
@@ -128,8 +134,20 @@
 	}
 }
 
-// room returns what a domain has free when it may be full up to a fraction of
-// its capacity. What drains keep away is not free.
+// room returns what a domain has free when its hosts may be full up to a
+// fraction of their capacity.
 func (d *domain) room(full float64) float64 {
-	return max(d.kept*full-d.load, 0) * (1 - d.region.drained)
+	sum := 0.0
+	for _, h := range d.hosts {
+		sum += h.room(full)
+	}
+	return sum * (1 - d.region.drained)
 }
+
+func (h *host) room(full float64) float64 { return max(h.kept()*full-h.load, 0) }
+
+// spare weighs the host as a further choice.
+func (h *host) spare(full float64) float64 { return h.room(full) + spareLeast*h.kept() }
+
+// kept returns the capacity less what drains keep away.
+func (h *host) kept() float64 { return h.Capacity * (1 - h.drained) }
--- a/core/agatelookup/view.go
+++ b/core/agatelookup/view.go
@@ -140,11 +140,10 @@
 
 // domain is a failure domain with its usable hosts.
 type domain struct {
-	name     string
-	hash     uint64
-	region   *region
-	hosts    []*host
-	capacity float64
+	name   string
+	hash   uint64
+	region *region
+	hosts  []*host
 	// kept is the capacity less what drains keep away.
 	kept   float64
 	weight float64
@@ -153,6 +152,10 @@
 	// has beside that as a third choice.
 	free  float64
 	spare float64
+	// full is how full the others may get when this domain is lost, fill how
+	// full this one may get otherwise.
+	full float64
+	fill float64
 	// spill weighs the other domains for the callers of this one.
 	spill []float64
 }
@@ -166,6 +169,7 @@
 	weight float64
 	// drained is the share of its work that drains keep away.
 	drained float64
+	load    float64
 }
 
 // NewView prepares a View.
