agatelookup: a silent second host if only one domain is heard

A listener that is cut off from its peers named itself alone.

Lines taken out, each seen to fail "go test -run TestChoices ./core/agatelookup": silent second host, not of the same domain, not a drained one.

--- a/core/agatelookup/choose.go
+++ b/core/agatelookup/choose.go
@@ -45,7 +45,8 @@
 // Choose returns the entry hosts for a client. Equal queries on equal views
 // get equal answers, and a change of the view moves no more clients than it
 // has to. There are at least two hosts in different failure domains if the
-// view has two usable domains.
+// view has two domains that are not drained; the second host is a silent one
+// if need be.
 func Choose(q Query, v View) Answer {
 	if v.plan == nil || len(v.plan.domains) == 0 {
 		return Answer{Lifetime: DefaultFresh, Reason: "no-hosts"}
@@ -64,6 +65,9 @@
 	a.Hosts = append(a.Hosts, first.Host)
 	second := p.second(client, first)
 	if second == nil {
+		if len(p.silent) > 0 {
+			a.Hosts = append(a.Hosts, p.silentHost(client).Host)
+		}
 		return a
 	}
 	a.Hosts = append(a.Hosts, second.Host)
@@ -154,6 +158,11 @@
 	return best.host(client, saltSecond, first.domain.full)
 }
 
+// silentHost returns one of the silent hosts.
+func (p *plan) silentHost(client uint64) *host {
+	return pick(client, saltSecond, p.silent, func(h *host) (uint64, float64) { return h.hash, 1 })
+}
+
 // third returns a host in a region that neither of the others is in, or else
 // in a domain that neither is in, or nil if there is none.
 func (p *plan) third(client uint64, first, second *host) *host {
--- a/core/agatelookup/view.go
+++ b/core/agatelookup/view.go
@@ -114,6 +114,8 @@
 	regions  []*region
 	byName   map[string]*region
 	domains  []*domain
+	// silent holds hosts that are left out only because they are silent.
+	silent []*host
 	// degraded says why hosts are used that should not be, if so.
 	degraded string
 }
@@ -222,6 +224,7 @@
 			break
 		}
 	}
+	p.keepSilent(cfg)
 	p.drainRegions(cfg.Drains)
 }
 
@@ -241,6 +244,23 @@
 	}
 }
 
+// keepSilent keeps the silent hosts as second choices for the case that all
+// others are in one domain. A listener that is cut off from its peers hears
+// nobody else, and should not send everyone to itself alone.
+func (p *plan) keepSilent(cfg *Config) {
+	if len(p.domains) != 1 {
+		return
+	}
+	heard := p.domains[0] // so what is in another one is silent or drained
+	for _, h := range cfg.Hosts {
+		same := h.Region == heard.region.name && h.Domain == heard.name
+		if same || drainShare(cfg.Drains, &h) >= 1 {
+			continue
+		}
+		p.silent = append(p.silent, &host{Host: h, hash: xxhash.Sum64String(h.Name)})
+	}
+}
+
 func (p *plan) setDegraded(silent, drained bool) {
 	switch {
 	case drained:
