--- a/core/agatelookup/view.go
+++ b/core/agatelookup/view.go
@@ -114,6 +114,8 @@
 	regions  []*region
 	byName   map[string]*region
 	domains  []*domain
+	// silent holds hosts that are left out only because they are silent.
+	silent []*host
 	// degraded says why hosts are used that should not be, if so.
 	degraded string
 }
@@ -140,11 +142,10 @@
 
 // domain is a failure domain with its usable hosts.
 type domain struct {
-	name     string
-	hash     uint64
-	region   *region
-	hosts    []*host
-	capacity float64
+	name   string
+	hash   uint64
+	region *region
+	hosts  []*host
 	// kept is the capacity less what drains keep away.
 	kept   float64
 	weight float64
@@ -153,6 +154,10 @@
 	// has beside that as a third choice.
 	free  float64
 	spare float64
+	// full is how full the others may get when this domain is lost, fill how
+	// full this one may get otherwise.
+	full float64
+	fill float64
 	// spill weighs the other domains for the callers of this one.
 	spill []float64
 }
@@ -166,6 +171,7 @@
 	weight float64
 	// drained is the share of its work that drains keep away.
 	drained float64
+	load    float64
 }
 
 // NewView prepares a View.
@@ -218,6 +224,7 @@
 			break
 		}
 	}
+	p.keepSilent(cfg)
 	p.drainRegions(cfg.Drains)
 }
 
@@ -237,6 +244,23 @@
 	}
 }
 
+// keepSilent keeps the silent hosts as second choices for the case that all
+// others are in one domain. A listener that is cut off from its peers hears
+// nobody else, and should not send everyone to itself alone.
+func (p *plan) keepSilent(cfg *Config) {
+	if len(p.domains) != 1 {
+		return
+	}
+	heard := p.domains[0] // so what is in another one is silent or drained
+	for _, h := range cfg.Hosts {
+		same := h.Region == heard.region.name && h.Domain == heard.name
+		if same || drainShare(cfg.Drains, &h) >= 1 {
+			continue
+		}
+		p.silent = append(p.silent, &host{Host: h, hash: xxhash.Sum64String(h.Name)})
+	}
+}
+
 func (p *plan) setDegraded(silent, drained bool) {
 	switch {
 	case drained:
