--- a/core/agateroute/peers.go
+++ b/core/agateroute/peers.go
@@ -17,7 +17,7 @@
 
 	// reportTrust is the weight of an upstream's report on arrival. It is low,
 	// since reports may mislead, and hosts that follow the same number herd.
-	reportTrust = 0.25
+	reportTrust = 0.1
 
 	// reportAge is the age at which a report has no weight, in service times.
 	reportAge = 2.0
