agatequorum: store a commit index only for entries of earlier writes

After the restart the commit index lay on the old entry that the write was to replace, and the replica applied it.

agatereplica: a membership change whose context ends also says why it was early; tests no longer race on their own state.

--- a/core/agatequorum/core_test.go
+++ b/core/agatequorum/core_test.go
@@ -195,6 +195,23 @@
 	assert.Equal(t, c.Status().Role, agatequorum.Follower)
 }
 
+// A write that replaces an entry by a committed one may be torn. The commit
+// index must not become durable before the entry.
+func TestCommitAfterEntry(t *testing.T) {
+	c := newCore()
+	c.Step(0, appendFrom(2, 2, 1, 1, commands(2, 2, 3)))
+	c.Ready()
+	c.Advance(agatequorum.Done{Written: true})
+	m := appendFrom(3, 3, 2, 2, commands(3, 3, 4))
+	m.Commit = 4
+	c.Step(time.Second, m)
+	assert.Equal(t, c.Status().Commit, uint64(4))
+	assert.Equal(t, c.Ready().Write.Hard, agatequorum.Hard{Term: 3, Commit: 2})
+	c.Advance(agatequorum.Done{Written: true})
+	c.Step(time.Second, appendFrom(3, 3, 4, 3, commands(3, 5, 5)))
+	assert.Equal(t, c.Ready().Write.Hard, agatequorum.Hard{Term: 3, Commit: 4})
+}
+
 // Entries that contradict committed ones must stop the replica.
 func TestFault(t *testing.T) {
 	c := newCore()
--- a/core/agatequorum/fuzz_test.go
+++ b/core/agatequorum/fuzz_test.go
@@ -168,21 +168,21 @@
 }
 
 // survivable reports whether every membership that may be in force keeps a
-// majority with intact disks when id is lost as well. A membership whose entry
-// is still in a message counts too.
+// majority with intact disks when id is lost as well. These are the last
+// committed one and those proposed after it: their entries may still be in a
+// message, and one that a replica holds may be lost in a crash.
 func (s *sim) survivable(id uint64) bool {
-	var all []agatequorum.Members
-	for _, other := range s.ids {
-		if n := s.nodes[other]; !n.lost {
-			all = append(all, n.core.Status().Members)
+	last := uint64(0)
+	for _, ch := range s.changes {
+		if s.oracle.terms[ch.index] == ch.term {
+			last = max(last, ch.index)
 		}
 	}
 	for _, ch := range s.changes {
-		if _, committed := s.oracle.chain[ch.index]; !committed {
-			all = append(all, ch.members)
+		if ch.index < last || (ch.index == last && s.oracle.terms[last] != ch.term) {
+			continue
 		}
-	}
-	for _, ms := range all {
+		ms := ch.members
 		intact := 0
 		for _, m := range ms {
 			if !m.Learner && m.ID != id && !s.nodes[m.ID].lost {
--- a/core/agatequorum/ready.go
+++ b/core/agatequorum/ready.go
@@ -168,7 +168,7 @@
 		return nil
 	}
 	out.flight = &Write{
-		Hard:     Hard{Term: c.term, Vote: c.vote, Commit: c.commit},
+		Hard:     Hard{Term: c.term, Vote: c.vote, Commit: c.durableCommit()},
 		Entries:  c.log.from(c.log.written+1, 0),
 		Snapshot: out.pending,
 	}
@@ -179,6 +179,13 @@
 	return out.flight
 }
 
+// durableCommit returns the commit index to store. It covers entries of
+// earlier writes only: after a crash in the middle of this write, the store
+// may hold the new Hard above an old entry that this write was to replace.
+func (c *Core) durableCommit() uint64 {
+	return max(c.output.durable.Commit, min(c.commit, c.log.stable))
+}
+
 func (c *Core) nextCommitted() (*Snapshot, []Entry) {
 	out := &c.output
 	if out.install {
--- a/core/agatequorum/sim_test.go
+++ b/core/agatequorum/sim_test.go
@@ -105,6 +105,7 @@
 // proposed is a membership that a leader added to its log.
 type proposed struct {
 	index   uint64
+	term    uint64
 	members agatequorum.Members
 }
 
@@ -125,6 +126,7 @@
 	for id := uint64(1); id <= n; id++ {
 		ms = append(ms, agatequorum.Member{ID: id})
 	}
+	s.changes = []proposed{{index: 1, term: 1, members: ms}}
 	for _, m := range ms {
 		s.add(m.ID, ms)
 	}
@@ -411,7 +413,7 @@
 func (n *simNode) change(kind agatequorum.ChangeKind, id uint64) agatequorum.Outcome {
 	o := n.core.ChangeMembers(n.clock(), agatequorum.Change{Kind: kind, ID: id})
 	if st := n.core.Status(); o == agatequorum.Accepted {
-		n.s.changes = append(n.s.changes, proposed{index: st.Last, members: st.Members})
+		n.s.changes = append(n.s.changes, proposed{index: st.Last, term: st.Term, members: st.Members})
 	}
 	n.act()
 	return o
--- a/io/agatereplica/ask.go
+++ b/io/agatereplica/ask.go
@@ -85,25 +85,28 @@
 	return r.change(ctx, agatequorum.Change{Kind: agatequorum.Remove, ID: id})
 }
 
-// change tries a membership change until it is no longer early.
+// change tries a membership change until it is no longer early. When ctx ends
+// first, the error also says why the change was early.
 func (r *Replica) change(ctx context.Context, ch agatequorum.Change) error {
+	var early error
 	for {
 		a := newAsk(askChange)
 		a.change = ch
 		_, err := r.ask(ctx, a)
+		if early != nil && err != nil && ctx.Err() != nil {
+			return fmt.Errorf("%w: %w", err, early)
+		}
 		if !isEarly(err) {
 			return err
 		}
+		early = err
 		retry := time.NewTimer(r.cfg.Heartbeat)
 		select {
 		case <-ctx.Done():
-			retry.Stop()
-			return fmt.Errorf("%w: %w", err, ctx.Err())
 		case <-r.stop:
-			retry.Stop()
-			return ErrStopped
 		case <-retry.C:
 		}
+		retry.Stop()
 	}
 }
 
--- a/io/agatereplica/group_test.go
+++ b/io/agatereplica/group_test.go
@@ -58,6 +58,12 @@
 	return nil
 }
 
+func (s *memStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.syncs
+}
+
 func (s *memStore) fail(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,14 +160,25 @@
 
 func (g *group) close(ids ...uint64) {
 	for _, id := range ids {
-		g.mu.Lock()
-		r := g.replicas[id]
-		delete(g.replicas, id)
-		g.mu.Unlock()
-		assert.NilError(g.t, r.Close())
+		assert.Check(g.t, g.forget(id).Close())
 	}
 }
 
+// forget takes a replica out of the network.
+func (g *group) forget(id uint64) *agatereplica.Replica {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.replicas[id]
+	delete(g.replicas, id)
+	return r
+}
+
+func (g *group) isolate(id uint64, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut[id] = cut
+}
+
 func (g *group) closeAll() {
 	for id := range g.stores {
 		if g.replicas[id] != nil {
@@ -189,10 +206,10 @@
 func run(t *testing.T, n int, cfg agatereplica.Config, test func(t *testing.T, g *group)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, n, cfg)
+		t.Cleanup(g.closeAll)
 		for id := uint64(1); id <= uint64(n); id++ {
 			g.open(id)
 		}
 		test(t, g)
-		g.closeAll()
 	})
 }
--- a/io/agatereplica/replica_test.go
+++ b/io/agatereplica/replica_test.go
@@ -66,13 +66,13 @@
 		l := g.leader()
 		propose(t, l, 1)
 		st := g.stores[l.Status().ID]
-		before := st.syncs
+		before := st.count()
 		var all sync.WaitGroup
 		for range 500 {
 			all.Go(func() { propose(t, l, 1) })
 		}
 		all.Wait()
-		assert.Assert(t, st.syncs-before <= 3, "%d syncs", st.syncs-before)
+		assert.Assert(t, st.count()-before <= 3, "%d syncs", st.count()-before)
 		assert.Equal(t, g.sum(1, 2, 3), uint64(501))
 	})
 }
@@ -110,7 +110,7 @@
 		l := g.leader()
 		propose(t, l, 1)
 		id := l.Status().ID
-		g.cut[id] = true
+		g.isolate(id, true)
 		replaced := make(chan error, 1)
 		go func() {
 			_, err := l.Propose(context.Background(), number(100))
@@ -127,7 +127,7 @@
 		next := g.leader()
 		propose(t, next, 2)
 		propose(t, next, 2)
-		g.cut[id] = false
+		g.isolate(id, false)
 		err = <-replaced
 		assert.Assert(t, errors.As(err, &other), "%v", err)
 		assert.Equal(t, g.sum(1, 2, 3), uint64(5))
@@ -217,7 +217,7 @@
 		synctest.Wait()
 		begin := time.Now()
 		assert.NilError(t, l.Stop(within(time.Second)))
-		delete(g.replicas, l.Status().ID)
+		g.forget(l.Status().ID)
 		all.Wait()
 		propose(t, g.leader(), 1)
 		assert.Assert(t, time.Since(begin) < 200*time.Millisecond, "took %v", time.Since(begin))
