--- a/io/agatereplica/group_test.go
+++ b/io/agatereplica/group_test.go
@@ -23,8 +23,12 @@
 	syncs int
 }
 
+// sync is called with the lock held. It sleeps without it: under virtual time
+// a goroutine that waits for the lock would stop the clock.
 func (s *memStore) sync() error {
+	s.mu.Unlock()
 	time.Sleep(s.fsync)
+	s.mu.Lock()
 	s.syncs++
 	return s.err
 }
