agateentry: requests carry their id to upstreams; state of lost upstreams is dropped

Cause: an upstream could not echo the id that lets the client tell a late second answer from the right one; connections and incarnations of upstreams that are gone were kept for good. Change: Agate-Request goes to upstreams, the stand-in echoes it; the pool, states and incarnations forget an upstream whose lease ended. Conclusion: memory is bounded by the upstreams that exist.

--- a/io/agatedemo/upstream.go
+++ b/io/agatedemo/upstream.go
@@ -133,6 +133,7 @@
 		return
 	}
 	time.Sleep(u.cfg.Work)
+	w.Header().Set("Agate-Request", r.Header.Get("Agate-Request"))
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(wireAnswer{Upstream: u.cfg.ID, Path: r.URL.Path, Bytes: len(body), Run: n})
 }
--- a/io/agateentry/admin.go
+++ b/io/agateentry/admin.go
@@ -152,12 +152,22 @@
 	})
 }
 
+// forgetUpstream drops what other duties keep of an upstream that is gone.
+func (e *Entry) forgetUpstream(id agateroute.UpstreamID) {
+	e.pool.Forget(string(id))
+	e.states.states.Delete(id)
+	e.suspects.forget(id)
+}
+
 // routeEvent logs what happened to the table.
 func (e *Entry) routeEvent(ev agateroute.Event) {
 	kind := agatelog.Placement
 	if ev.Kind == agateroute.EventDrain || ev.Kind == agateroute.EventDrained {
 		kind = agatelog.Drain
 	}
+	if ev.Kind == agateroute.EventLapsed {
+		e.forgetUpstream(ev.Upstream)
+	}
 	if ev.Kind == agateroute.EventDrained {
 		e.metrics.drained("upstream", ev.Time)
 	}
--- a/io/agateentry/call.go
+++ b/io/agateentry/call.go
@@ -148,13 +148,16 @@
 		path:     path,
 		home:     e.lookup.homeOf(r.RemoteAddr),
 		key:      r.Header.Get(headerKey),
-		header:   r.Header,
+		header:   r.Header.Clone(),
 		body:     body,
 		class:    service.Classify(r.Method, path),
 		arrived:  arrived,
 		deadline: arrived.Add(left),
 		seen:     e.seen.At(agateclock.Now()),
 	}
+	// An upstream that echoes the id lets a late answer be told from the
+	// right one.
+	cl.header.Set(headerRequest, id)
 	if r.URL.RawQuery != "" {
 		cl.path += "?" + r.URL.RawQuery
 	}
--- a/io/agateentry/suspect.go
+++ b/io/agateentry/suspect.go
@@ -57,6 +57,13 @@
 	s.incarnations[id] = max(s.incarnations[id], incarnation)
 }
 
+// forget drops the incarnation of an upstream that is gone.
+func (s *suspects) forget(id agateroute.UpstreamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.incarnations, id)
+}
+
 // run names one start of an upstream.
 func (s *suspects) run(id agateroute.UpstreamID) (name string, incarnation uint64) {
 	n := s.incarnations[id]
