--- a/io/agateentry/exchange.go
+++ b/io/agateentry/exchange.go
@@ -188,17 +188,66 @@
 	if !e.router.do(func(now time.Time) { out = e.router.table.Export(now, p.acked) }) {
 		return nil, false
 	}
-	ask := &agatewire.ExchangeAsk{
+	ask := toWireExchange(&out)
+	ask.Sender = e.identity()
+	ask.Region = e.cfg.Settings.Region
+	ask.Domain = e.cfg.Settings.Domain
+	ask.Caller = e.cfg.Settings.Caller.String()
+	ask.Draining = e.absent()
+	ask.Load = e.load()
+	ask.Base = p.acked
+	ask.Suspects = e.suspects.export()
+	return ask, true
+}
+
+// peerService serves other own processes.
+type peerService struct {
+	agatewire.UnimplementedPeerServer
+	e *Entry
+}
+
+// Notify makes a heartbeat due when the leader has a newer revision.
+func (s *peerService) Notify(_ context.Context, ask *agatewire.NotifyAsk) (*agatewire.NotifyReply, error) {
+	if ask.Sender.GetRevision() > s.e.config.Load().revision {
+		s.e.beats.kick()
+	}
+	return &agatewire.NotifyReply{Sender: s.e.identity()}, nil
+}
+
+// Exchange takes what a peer tells.
+func (s *peerService) Exchange(_ context.Context, ask *agatewire.ExchangeAsk) (*agatewire.ExchangeReply, error) {
+	e := s.e
+	in := fromWireExchange(ask)
+	for i := range in.Announcements {
+		e.noteUpstream(&in.Announcements[i])
+	}
+	e.router.do(func(now time.Time) { e.router.table.Merge(now, in) })
+	if ask.Base == 0 {
+		e.informed.Store(true)
+	}
+	e.suspects.merge(ask.Suspects)
+	e.directory.heardPeer(time.Now(), ask.Sender, ask.Draining, ask.Load)
+	reply := &agatewire.ExchangeReply{
 		Sender:   e.identity(),
-		Region:   e.cfg.Settings.Region,
-		Domain:   e.cfg.Settings.Domain,
-		Caller:   e.cfg.Settings.Caller.String(),
+		Known:    ask.Version,
 		Draining: e.absent(),
 		Load:     e.load(),
-		Version:  out.Version,
-		Base:     p.acked,
-		Suspects: e.suspects.export(),
 	}
+	cur := e.config.Load()
+	switch theirs := ask.Sender.GetRevision(); {
+	case cur.revision > theirs:
+		reply.Document = cur.document
+		reply.Sender.Revision = cur.revision
+	case cur.revision < theirs:
+		// The peer answers this host's next exchange with its document.
+		e.exchange.kickHost(ask.Sender.GetHost())
+	}
+	return reply, nil
+}
+
+// toWireExchange translates what the table tells a peer.
+func toWireExchange(out *agateroute.Exchange) *agatewire.ExchangeAsk {
+	ask := &agatewire.ExchangeAsk{Version: out.Version}
 	for i := range out.Announcements {
 		ask.Upstreams = append(ask.Upstreams, toWireUpstream(&out.Announcements[i]))
 	}
@@ -214,26 +263,11 @@
 			Time:    int64(t.Service),
 		})
 	}
-	return ask, true
-}
-
-// peerService serves other own processes.
-type peerService struct {
-	agatewire.UnimplementedPeerServer
-	e *Entry
-}
-
-// Notify makes a heartbeat due when the leader has a newer revision.
-func (s *peerService) Notify(_ context.Context, ask *agatewire.NotifyAsk) (*agatewire.NotifyReply, error) {
-	if ask.Sender.GetRevision() > s.e.config.Load().revision {
-		s.e.beats.kick()
-	}
-	return &agatewire.NotifyReply{Sender: s.e.identity()}, nil
+	return ask
 }
 
-// Exchange takes what a peer tells.
-func (s *peerService) Exchange(_ context.Context, ask *agatewire.ExchangeAsk) (*agatewire.ExchangeReply, error) {
-	e := s.e
+// fromWireExchange leaves out what is malformed.
+func fromWireExchange(ask *agatewire.ExchangeAsk) agateroute.Exchange {
 	in := agateroute.Exchange{
 		Host:    ask.Sender.GetHost(),
 		Epoch:   ask.Sender.GetEpoch(),
@@ -242,7 +276,6 @@
 	for _, u := range ask.Upstreams {
 		if a, ok := fromWireUpstream(u); ok {
 			in.Announcements = append(in.Announcements, a)
-			e.noteUpstream(&a)
 		}
 	}
 	for _, u := range ask.Uses {
@@ -261,28 +294,7 @@
 			Service: time.Duration(t.Time),
 		})
 	}
-	e.router.do(func(now time.Time) { e.router.table.Merge(now, in) })
-	if ask.Base == 0 {
-		e.informed.Store(true)
-	}
-	e.suspects.merge(ask.Suspects)
-	e.directory.heardPeer(time.Now(), ask.Sender, ask.Draining, ask.Load)
-	reply := &agatewire.ExchangeReply{
-		Sender:   e.identity(),
-		Known:    ask.Version,
-		Draining: e.absent(),
-		Load:     e.load(),
-	}
-	cur := e.config.Load()
-	switch theirs := ask.Sender.GetRevision(); {
-	case cur.revision > theirs:
-		reply.Document = cur.document
-		reply.Sender.Revision = cur.revision
-	case cur.revision < theirs:
-		// The peer answers this host's next exchange with its document.
-		e.exchange.kickHost(ask.Sender.GetHost())
-	}
-	return reply, nil
+	return in
 }
 
 func toWireUpstream(a *agateroute.Announcement) *agatewire.UpstreamState {
