--- a/io/agatereplica/driver.go
+++ b/io/agatereplica/driver.go
@@ -60,6 +60,10 @@
 	ticker := time.NewTicker(d.r.cfg.Heartbeat / ticksPerBeat)
 	defer ticker.Stop()
 	defer d.end()
+	d.core.Tick(d.r.cfg.Clock())
+	if !d.act() {
+		return
+	}
 	for {
 		select {
 		case <-d.r.stop:
--- a/io/agatereplica/group_test.go
+++ b/io/agatereplica/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -21,14 +22,29 @@
 	fsync time.Duration
 	err   error
 	syncs int
+	// file is written and synced instead of the pause fsync.
+	file *os.File
 }
 
-// sync is called with the lock held. It sleeps without it: under virtual time
+// pause is called with the lock held. It sleeps without it: under virtual time
 // a goroutine that waits for the lock would stop the clock.
-func (s *memStore) sync() error {
+func (s *memStore) pause() {
 	s.mu.Unlock()
-	time.Sleep(s.fsync)
-	s.mu.Lock()
+	defer s.mu.Lock()
+	if s.file == nil {
+		time.Sleep(s.fsync)
+		return
+	}
+	if _, err := s.file.Write(make([]byte, 512)); err != nil {
+		panic(err)
+	}
+	if err := s.file.Sync(); err != nil {
+		panic(err)
+	}
+}
+
+func (s *memStore) synced() error {
+	s.pause()
 	s.syncs++
 	return s.err
 }
@@ -36,7 +52,7 @@
 func (s *memStore) Append(hard agatequorum.Hard, entries []agatequorum.Entry) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.sync(); err != nil {
+	if err := s.synced(); err != nil {
 		return err
 	}
 	s.saved.Hard = hard
@@ -53,7 +69,7 @@
 func (s *memStore) SaveSnapshot(sn agatequorum.Snapshot) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.sync(); err != nil {
+	if err := s.synced(); err != nil {
 		return err
 	}
 	agree := slices.ContainsFunc(s.saved.Entries, func(e agatequorum.Entry) bool { return e.Index == sn.Index && e.Term == sn.Term })
