agatequorum: the simulation proposes until the group has settled

With (`go test ./core/agatequorum -run TestFaults/five -rapid.seed=`) the group worked, but settle waited for a command that a leader had proposed in an earlier term. It proposes every 50 ms and demands a new acknowledgement.

--- a/core/agatequorum/sim_test.go
+++ b/core/agatequorum/sim_test.go
@@ -490,18 +490,18 @@
 		}
 	}
 	end := s.now + 30*time.Second
-	proposed := false
+	before := s.oracle.acked
+	var next time.Duration
 	ok := s.runUntil(end, func() bool {
 		l := s.leader()
 		if l == nil {
 			return false
 		}
-		if !proposed || len(l.asked) == 0 {
-			if l.propose() == agatequorum.Accepted {
-				proposed = true
-			}
+		if s.now >= next {
+			next = s.now + 50*time.Millisecond
+			l.propose()
 		}
-		return l.acked > 0 && s.complete(l)
+		return s.oracle.acked > before && s.complete(l)
 	})
 	if !ok {
 		for _, id := range s.ids {
