--- a/core/agateroute/doc.go
+++ b/core/agateroute/doc.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	t := agateroute.New(agateroute.Config{Host: "e1", Region: "centro", Overflow: holder.Take})
+//	t := agateroute.New(agateroute.Config{Host: "e1", Region: "centro", Domain: "centro-1", Overflow: take})
 //	t.Configure(now, inv)
 //	t.Announce(now, announcement)
 //	switch d := t.Choose(now, r); d.Verdict {
--- a/core/agateroute/peers.go
+++ b/core/agateroute/peers.go
@@ -68,7 +68,7 @@
 type Exchange struct {
 	// Host is the name of the sender.
 	Host string
-	// Epoch changes with each start of the sender.
+	// Epoch grows with each start of the sender.
 	Epoch uint64
 	// Version is the sender's table version. A later Export from it holds
 	// only what is newer.
