--- a/io/agatereplica/group_test.go
+++ b/io/agatereplica/group_test.go
@@ -118,6 +118,8 @@
 	cut      map[uint64]bool
 	cfg      agatereplica.Config
 	fsync    time.Duration
+	// hold stops the drivers of all replicas while it is locked.
+	hold chan struct{}
 }
 
 func newGroup(t testing.TB, n int, cfg agatereplica.Config) *group {
@@ -130,6 +132,7 @@
 		cut:      map[uint64]bool{},
 		cfg:      cfg,
 		fsync:    time.Millisecond,
+		hold:     make(chan struct{}, 1),
 	}
 	for id := uint64(1); id <= uint64(n); id++ {
 		g.cfg.Bootstrap = append(g.cfg.Bootstrap, agatequorum.Member{ID: id})
@@ -149,7 +152,11 @@
 		cfg.ID = id
 		cfg.Saved = st.saved
 		cfg.Saved.Entries = slices.Clone(st.saved.Entries)
-		cfg.Clock = func() time.Duration { return time.Since(g.start) }
+		cfg.Clock = func() time.Duration {
+			g.hold <- struct{}{}
+			defer func() { <-g.hold }()
+			return time.Since(g.start)
+		}
 		cfg.Apply, cfg.Snapshot, cfg.Restore = m.apply, m.snapshot, m.restore
 		cfg.Append, cfg.SaveSnapshot = st.Append, st.SaveSnapshot
 		cfg.Send = func(to uint64, msg agatequorum.Message) { g.send(id, to, msg) }
--- a/io/agatereplica/replica_test.go
+++ b/io/agatereplica/replica_test.go
@@ -103,6 +103,25 @@
 	})
 }
 
+// A command whose caller gave up before the driver took it must not be
+// proposed afterwards: the caller was told so.
+func TestWithdrawn(t *testing.T) {
+	run(t, 1, agatereplica.Config{}, func(t *testing.T, g *group) {
+		l := g.leader()
+		propose(t, l, 1)
+		g.hold <- struct{}{}
+		_, err := l.Propose(within(time.Second), number(10))
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		unknown := errors.Is(err, agatereplica.ErrUnknown)
+		_, err = l.Propose(within(time.Second), number(100))
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Assert(t, !errors.Is(err, agatereplica.ErrUnknown), "%v", err)
+		<-g.hold
+		sum := g.sum(1)
+		assert.Assert(t, sum == 1 || (unknown && sum == 11), "sum %d", sum)
+	})
+}
+
 // A command of an isolated leader must end as unknown, not as applied or
 // refused; a caller that waits must learn that it was replaced.
 func TestIsolatedLeader(t *testing.T) {
