agatequorum: a replica without a membership has no vote

Without the check in mayVote, `go test ./core/agatequorum -run Vote` fails in TestEmptyDiskVote: a replica whose disk was lost under a reused identity gave its vote again.

--- a/core/agatequorum/core_test.go
+++ b/core/agatequorum/core_test.go
@@ -212,6 +212,23 @@
 	assert.Equal(t, c.Ready().Write.Hard, agatequorum.Hard{Term: 3, Commit: 4})
 }
 
+// A replica that came back with an empty disk must not vote, even if it is
+// asked under an identity that once had a vote.
+func TestEmptyDiskVote(t *testing.T) {
+	c := agatequorum.New(agatequorum.Config{ID: 1, Rand: rand.Uint64}, agatequorum.Saved{Fresh: true})
+	c.Tick(0)
+	for _, kind := range []agatequorum.MessageKind{agatequorum.MessagePreVote, agatequorum.MessageVote} {
+		c.Step(time.Second, agatequorum.Message{Kind: kind, From: 3, To: 1, Term: 3, Index: 9, LogTerm: 2, Members: 1})
+		if w := c.Ready().Write; w != nil {
+			assert.Equal(t, w.Hard.Vote, uint64(0))
+			c.Advance(agatequorum.Done{Written: true})
+		}
+		for _, m := range c.Ready().Messages {
+			assert.Assert(t, m.Reject, "message %+v", m)
+		}
+	}
+}
+
 // Entries that contradict committed ones must stop the replica.
 func TestFault(t *testing.T) {
 	c := newCore()
--- a/core/agatequorum/election.go
+++ b/core/agatequorum/election.go
@@ -90,9 +90,13 @@
 
 // mayVote reports whether this replica has a vote. The candidate's membership
 // decides when it is newer than the replica's own: a learner may not have
-// received the entry that promoted it.
+// received the entry that promoted it. A replica that holds no membership
+// cannot have been promoted; a candidate that asks it knew an earlier disk.
 func (c *Core) mayVote(m *Message) bool {
 	own := c.members.latest()
+	if len(own.members) == 0 {
+		return false
+	}
 	self, ok := own.members.Find(c.cfg.ID)
 	if ok && self.Learner {
 		return m.Members > own.index
