agateroute, agateentry: half of the retry budget is kept from hedges; cheaper idle exchanges

Cause: one read in 477 was lost when connections went silent, because hedges had used up the budget of retries; an idle entry host of ten used 7% of a core for exchanges and ticks. Change: hedges may use half of the budget; exchanges run every 100 ms only with peers of the same region while requests are in flight, otherwise every 250 ms; the routing duty ticks every 5 ms only while requests wait; the round trip measured at connect goes to the table.

--- a/core/agateroute/retry.go
+++ b/core/agateroute/retry.go
@@ -12,6 +12,11 @@
 	budgetWindow = 10 * time.Second
 	budgetPart   = time.Second
 
+	// hedgeShare is the part of the budget that hedges may use up. The rest is
+	// kept for retries, without which a read whose connection went silent is
+	// lost.
+	hedgeShare = 0.5
+
 	// budgetParts is one more than the window has. Second attempts are counted
 	// for all parts, so for at least 10 s, and requests for one part less, so
 	// for at most 10 s: the bound then holds for any 10 s.
@@ -51,10 +56,11 @@
 	b.sumR++
 }
 
-// allows reports whether one more second attempt is within the budget.
-func (b *budget) allows(now time.Time) bool {
+// allows reports whether one more second attempt is within a share of the
+// budget.
+func (b *budget) allows(now time.Time, share float64) bool {
 	b.roll(now)
-	return float64(b.sumS+1) <= DefaultBudget*float64(b.sumR)
+	return float64(b.sumS+1) <= share*DefaultBudget*float64(b.sumR)
 }
 
 // take counts a second attempt.
@@ -80,6 +86,8 @@
 type secondRule struct {
 	why     Reason
 	mayWait bool
+	// share is the part of the budget that such attempts may use up.
+	share float64
 	// free attempts are outside the budget.
 	free bool
 }
@@ -90,7 +98,7 @@
 // overload. Counting them would refuse callers of a dead upstream whenever
 // traffic is low.
 func retryRule(o Observation) secondRule {
-	return secondRule{why: ReasonRetry, mayWait: true, free: o.Outcome == Unstarted || o.Died}
+	return secondRule{why: ReasonRetry, mayWait: true, share: 1, free: o.Outcome == Unstarted || o.Died}
 }
 
 // Hedge decides whether a read that has been at an upstream for some time
@@ -106,7 +114,7 @@
 	if g := t.services[r.Service].groups[t.regionOf(&r)]; g.load()+1 > t.target()*g.slots {
 		return Decision{Reason: ReasonBusy}
 	}
-	return t.second(now, &r, secondRule{why: ReasonHedge})
+	return t.second(now, &r, secondRule{why: ReasonHedge, share: hedgeShare})
 }
 
 // regionOf returns the home region of a request.
@@ -147,7 +155,7 @@
 	if !now.Before(r.Deadline) {
 		return Decision{Reason: ReasonLate}
 	}
-	if !rule.free && !s.budget.allows(now) {
+	if !rule.free && !s.budget.allows(now, rule.share) {
 		return Decision{Reason: ReasonBudget, RetryAfter: t.cfg.Interval}
 	}
 	d := t.secondChoice(now, s, r, rule)
--- a/io/agateentry/beat.go
+++ b/io/agateentry/beat.go
@@ -126,6 +126,16 @@
 	return nil
 }
 
+// busy reports whether this host has requests in flight or waiting.
+func (e *Entry) busy() bool {
+	for _, u := range e.usage() {
+		if u.Own > 0 || u.Waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // observeTable is called by the routing duty and publishes what other duties
 // need to know of the table.
 func (e *Entry) observeTable(now time.Time) {
--- a/io/agateentry/exchange.go
+++ b/io/agateentry/exchange.go
@@ -14,8 +14,13 @@
 )
 
 const (
-	// exchangeEvery is the interval between two exchanges with a peer.
+	// exchangeEvery is the interval between two exchanges with a peer of the
+	// same region while requests are in flight. Both use the same upstreams,
+	// and older counts make them choose the same ones.
 	exchangeEvery = 100 * time.Millisecond
+	// exchangeSlow is the interval with other peers and while nothing is in
+	// flight. The table forgets a peer that is silent for 500 ms.
+	exchangeSlow = 250 * time.Millisecond
 	// exchangeTime bounds one exchange.
 	exchangeTime = 300 * time.Millisecond
 )
@@ -33,8 +38,10 @@
 
 // exchangePeer is what this host knows about its exchanges with one peer.
 type exchangePeer struct {
-	host   string
-	addr   netip.AddrPort
+	host string
+	addr netip.AddrPort
+	// near says that the peer is in this host's region.
+	near   bool
 	cancel context.CancelFunc
 	wake   chan struct{}
 	// epoch is the peer's last start and acked the version of this host's
@@ -54,28 +61,30 @@
 func (x *exchange) configured(inv *agateinventory.Inventory) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	wanted := make(map[string]netip.AddrPort)
-	for _, h := range inv.Hosts {
-		if h.Name != x.e.cfg.Settings.Name {
-			wanted[h.Name] = h.Peer
+	wanted := make(map[string]*agateinventory.Host)
+	for i := range inv.Hosts {
+		if h := &inv.Hosts[i]; h.Name != x.e.cfg.Settings.Name {
+			wanted[h.Name] = h
 		}
 	}
 	for name, p := range x.peers {
-		if wanted[name] != p.addr {
+		if h := wanted[name]; h == nil || h.Peer != p.addr || x.near(h) != p.near {
 			p.cancel()
 			delete(x.peers, name)
 		}
 	}
-	for name, addr := range wanted {
+	for name, h := range wanted {
 		if x.peers[name] == nil {
-			x.peers[name] = x.start(name, addr)
+			x.peers[name] = x.start(h)
 		}
 	}
 }
 
-func (x *exchange) start(host string, addr netip.AddrPort) *exchangePeer {
+func (x *exchange) near(h *agateinventory.Host) bool { return h.Region == x.e.cfg.Settings.Region }
+
+func (x *exchange) start(h *agateinventory.Host) *exchangePeer {
 	ctx, cancel := context.WithCancel(x.ctx)
-	p := &exchangePeer{host: host, addr: addr, cancel: cancel, wake: make(chan struct{}, 1)}
+	p := &exchangePeer{host: h.Name, addr: h.Peer, near: x.near(h), cancel: cancel, wake: make(chan struct{}, 1)}
 	x.done.Go(func() { x.serve(ctx, p) })
 	return p
 }
@@ -106,17 +115,26 @@
 }
 
 func (x *exchange) serve(ctx context.Context, p *exchangePeer) {
-	tick := time.NewTicker(exchangeEvery)
-	defer tick.Stop()
+	due := time.NewTimer(0)
+	defer due.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-due.C:
 		case <-p.wake:
 		}
 		x.once(ctx, p)
+		due.Reset(x.interval(p))
+	}
+}
+
+// interval is the time until the next exchange with a peer.
+func (x *exchange) interval(p *exchangePeer) time.Duration {
+	if p.near && x.e.busy() {
+		return exchangeEvery
 	}
+	return exchangeSlow
 }
 
 // once tells the peer what is new here.
--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -168,6 +168,7 @@
 		Class:      cl.class,
 		Home:       cl.home,
 		Latency:    r.Elapsed,
+		Travel:     r.Travel,
 		RetryAfter: r.RetryAfter,
 		Alone:      alone,
 		Died:       r.Died,
--- a/io/agateentry/router.go
+++ b/io/agateentry/router.go
@@ -13,6 +13,10 @@
 // refuses requests at once instead of delaying all of them.
 const routerTasks = 8192
 
+// idleTick is the interval of ticks while no request waits: leases and the
+// like need no more.
+const idleTick = 50 * time.Millisecond
+
 // router is the routing duty: one goroutine that owns the upstream table.
 type router struct {
 	table  *agateroute.Table
@@ -40,8 +44,9 @@
 
 func (r *router) run() {
 	defer r.done.Done()
-	tick := time.NewTicker(agateroute.TickInterval)
+	tick := time.NewTimer(idleTick)
 	defer tick.Stop()
+	queued := false
 	for {
 		select {
 		case <-r.stop:
@@ -52,10 +57,23 @@
 			r.serveQueue(now)
 		case <-tick.C:
 			r.tick(time.Now())
+			tick.Reset(r.interval())
+		}
+		if waits := len(r.waiting) > 0; waits != queued {
+			queued = waits
+			tick.Reset(r.interval())
 		}
 	}
 }
 
+// interval is the time until the next tick: short while requests wait.
+func (r *router) interval() time.Duration {
+	if len(r.waiting) > 0 {
+		return agateroute.TickInterval
+	}
+	return idleTick
+}
+
 func (r *router) tick(now time.Time) {
 	for _, e := range r.table.Tick(now) {
 		r.events(e)
--- a/io/agateupstream/call.go
+++ b/io/agateupstream/call.go
@@ -101,6 +101,9 @@
 	// RetryAfter is what the upstream asked for, or 0.
 	RetryAfter time.Duration
 	Elapsed    time.Duration
+	// Travel is the round trip to the upstream as measured when the connection
+	// was opened, or 0 if there was none.
+	Travel time.Duration
 	// Err says what went wrong. It is nil if Kind is Answered or Shed.
 	Err error
 }
--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -28,6 +28,9 @@
 	tcp  *net.TCPConn
 	addr netip.AddrPort
 	buf  *bufio.Reader
+	// travel is the time that it took to open the connection, which is one
+	// round trip.
+	travel time.Duration
 	// life is when the peer last showed life: when the connection was opened,
 	// or when bytes last came.
 	life time.Time
@@ -56,11 +59,13 @@
 }
 
 func dial(ctx context.Context, d *net.Dialer, addr netip.AddrPort) (*conn, error) {
+	begin := time.Now()
 	nc, err := d.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{tcp: nc.(*net.TCPConn), addr: addr, life: time.Now()}
+	now := time.Now()
+	c := &conn{tcp: nc.(*net.TCPConn), addr: addr, life: now, travel: now.Sub(begin)}
 	c.buf = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
 }
--- a/io/agateupstream/pool.go
+++ b/io/agateupstream/pool.go
@@ -220,6 +220,7 @@
 	stop := context.AfterFunc(ctx, c.close)
 	x := exchange{ctx: ctx, call: call, conn: c, header: outgoing(call), limits: &p.cfg}
 	r = x.run()
+	r.Travel = c.travel
 	x.join()
 	reusable := stop() && x.reusable
 	if x.silent {
