--- a/test/bench_test.go
+++ b/test/bench_test.go
@@ -179,3 +179,23 @@
 	b.ReportMetric(milliseconds(p50), "p50-ms")
 	b.ReportMetric(milliseconds(p99), "p99-ms")
 }
+
+// BenchmarkLookup gives the look-ups per second of one entry process. Clients
+// and entry host share the machine's processor.
+func BenchmarkLookup(b *testing.B) {
+	s, err := agatedemo.StartSystem(context.Background(), agatedemo.SystemConfig{Controls: 1, Entries: 10, Upstreams: 3})
+	assert.NilError(b, err)
+	defer s.Close()
+	c := caller(0)
+	url := "http://" + s.Settings(0).Caller.String() + "/v1/lookup?service=quotes&client=10.1.0.1"
+	b.SetParallelism(4)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := fetch(c, "GET", url, ""); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "lookups/s")
+}
