agatecontrol: repair removes the lost replica before it promotes the new one

Cause: the log refuses a promotion that one more loss would make fatal, as in a group of three with a lost disk; the repair waited for that promotion before it removed the lost replica and so never ended. Change: the replica whose address has another identity now is removed first.

--- a/io/agatecontrol/group.go
+++ b/io/agatecontrol/group.go
@@ -200,22 +200,16 @@
 	return reply, nil
 }
 
-// repair heals the membership, one change at a time: it promotes a learner
-// that holds a full durable copy, and removes a replica whose address belongs
-// to another identity now.
+// repair heals the membership, one change at a time. A replica whose address
+// belongs to another identity now is removed first: its vote is lost, and
+// promoting the new one beside it would need a larger majority of the same
+// number of live replicas. The new one gets its vote once it holds a full
+// durable copy.
 func (c *Control) repair(ctx context.Context) {
 	if !c.leads() {
 		return
 	}
 	r := c.replica.Load()
-	for _, m := range r.Status().Members {
-		if !m.Learner {
-			continue
-		}
-		if err := r.Promote(ctx, m.ID); err == nil {
-			c.placed("learner promoted", m, "full-copy")
-		}
-	}
 	members := r.Status().Members
 	for _, m := range members {
 		if m.ID == c.id || !c.replaced(members, m) {
@@ -225,10 +219,18 @@
 			c.placed("replaced replica removed", m, "replaced")
 		}
 	}
+	for _, m := range r.Status().Members {
+		if !m.Learner {
+			continue
+		}
+		if err := r.Promote(ctx, m.ID); err == nil {
+			c.placed("learner promoted", m, "full-copy")
+		}
+	}
 }
 
 // replaced reports whether the process at a member's address has another
-// identity now and, for a voter, whether that one has its vote already.
+// identity now, which is a member too.
 func (c *Control) replaced(members agatequorum.Members, old agatequorum.Member) bool {
 	shared := false
 	for _, m := range members {
@@ -241,7 +243,8 @@
 	if err != nil || reply.Id == old.ID {
 		return false
 	}
-	return old.Learner || members.Voter(reply.Id)
+	_, known := members.Find(reply.Id)
+	return known
 }
 
 func (c *Control) placed(what string, m agatequorum.Member, reason string) {
