--- a/internal/agateserve/serve.go
+++ b/internal/agateserve/serve.go
@@ -7,12 +7,13 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
-	"golang.org/x/net/netutil"
+	"github.com/hashicorp/go-hclog"
 )
 
 // Defaults of Config.
@@ -31,15 +32,24 @@
 	Handler http.Handler
 	// TLS is the server's certificate. Nil means plain text.
 	TLS *tls.Config
-	// Conns bounds the open connections. The default is 4096.
+	// Conns bounds the open connections; more are closed at once. The default
+	// is 4096.
 	Conns int
 	// HeaderBytes bounds the size of a request's header. The default is 16 KiB.
 	HeaderBytes int
+	// HeaderTime bounds the time to read a request's header. The default is
+	// 2 s.
+	HeaderTime time.Duration
 	// ReadTime bounds the time to read a request. The default is 10 s.
 	ReadTime time.Duration
 	// WriteTime bounds the time from the end of the header to the end of the
 	// answer. The default is 2 min.
 	WriteTime time.Duration
+	// IdleTime is how long an idle connection is kept. The default is 1 min.
+	IdleTime time.Duration
+	// Log receives the server's own lines at level debug. The default writes
+	// none.
+	Log hclog.Logger
 }
 
 // Server is one HTTP listener.
@@ -55,23 +65,31 @@
 	if err != nil {
 		return nil, fmt.Errorf("agateserve: %w", err)
 	}
-	ln = netutil.LimitListener(ln, orDefault(cfg.Conns, DefaultConns))
+	ln = newLimitListener(ln, orDefault(cfg.Conns, DefaultConns))
 	if cfg.TLS != nil {
 		ln = tls.NewListener(ln, cfg.TLS)
 	}
 	s := &Server{ln: ln, failed: make(chan error, 1)}
 	s.http = &http.Server{
 		Handler:           cfg.Handler,
-		ReadHeaderTimeout: DefaultHeaderTime,
+		ReadHeaderTimeout: orDefault(cfg.HeaderTime, DefaultHeaderTime),
 		ReadTimeout:       orDefault(cfg.ReadTime, DefaultReadTime),
 		WriteTimeout:      orDefault(cfg.WriteTime, DefaultWriteTime),
-		IdleTimeout:       DefaultIdleTime,
+		IdleTimeout:       orDefault(cfg.IdleTime, DefaultIdleTime),
 		MaxHeaderBytes:    orDefault(cfg.HeaderBytes, DefaultHeaderBytes),
+		ErrorLog:          errorLog(cfg.Log),
 	}
 	go s.serve()
 	return s, nil
 }
 
+func errorLog(l hclog.Logger) *log.Logger {
+	if l == nil {
+		l = hclog.NewNullLogger()
+	}
+	return l.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+}
+
 func orDefault[T int | time.Duration](v, standard T) T {
 	if v <= 0 {
 		return standard
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -177,7 +177,10 @@
 		TLS:         c.cfg.AdminTLS,
 		Conns:       c.cfg.Settings.Limit.Connections,
 		HeaderBytes: c.cfg.Settings.Limit.Header,
+		HeaderTime:  c.cfg.Settings.Wait.Header,
 		ReadTime:    c.cfg.Settings.Wait.Body,
+		IdleTime:    c.cfg.Settings.Wait.Idle,
+		Log:         c.log.Named("operators"),
 	})
 	if err != nil {
 		return fmt.Errorf("agatecontrol: %w", err)
--- a/io/agatedemo/system.go
+++ b/io/agatedemo/system.go
@@ -361,6 +361,9 @@
 	return s.awaitRevision(ctx, rev.Revision)
 }
 
+// Operator returns the client of the operators' interface.
+func (s *System) Operator() *agateops.Client { return s.operator }
+
 // Settings returns the settings of the nth entry host.
 func (s *System) Settings(n int) agatesettings.Entry { return s.entries[n] }
 
--- a/io/agateentry/admin.go
+++ b/io/agateentry/admin.go
@@ -11,6 +11,7 @@
 	"agategate/core/agateinventory"
 	"agategate/core/agateroute"
 	"agategate/io/agatelog"
+	"agategate/io/agateops"
 	"agategate/io/agatewire"
 )
 
@@ -32,16 +33,9 @@
 	return old.(agateroute.State), true
 }
 
-func newEcho() *echo.Echo {
-	ec := echo.New()
-	ec.HideBanner = true
-	ec.HidePort = true
-	return ec
-}
-
 // callerRoutes serves callers and upstreams.
 func (e *Entry) callerRoutes() http.Handler {
-	ec := newEcho()
+	ec := agateops.NewEcho()
 	ec.Use(e.whenReady)
 	ec.GET("/v1/lookup", e.handleLookup)
 	ec.Any("/v1/call/*", e.handleCall)
@@ -62,7 +56,7 @@
 
 // adminRoutes serves operators on the loopback address.
 func (e *Entry) adminRoutes() http.Handler {
-	ec := newEcho()
+	ec := agateops.NewEcho()
 	ec.GET("/metrics", echo.WrapHandler(e.metrics.set))
 	ec.GET("/healthz", e.handleHealth)
 	ec.GET("/v1/explain/:request", e.handleExplain)
@@ -76,6 +70,19 @@
 	Draining  bool   `json:"draining"`
 	Revision  uint64 `json:"revision"`
 	Upstreams int    `json:"upstreams"`
+	// Error says why the host does not serve. It is empty for one that does.
+	Error string `json:"error,omitempty"`
+}
+
+// notReady says why the host does not serve callers, or nothing.
+func (e *Entry) notReady() string {
+	switch {
+	case e.draining.Load():
+		return "the host is stopping"
+	case !e.ready.Load():
+		return "the newest configuration is not known yet: no majority of the control group has answered"
+	}
+	return ""
 }
 
 func (e *Entry) handleHealth(c echo.Context) error {
@@ -85,6 +92,7 @@
 		Draining:  e.draining.Load(),
 		Revision:  e.Revision(),
 		Upstreams: e.Upstreams(),
+		Error:     e.notReady(),
 	}
 	status := http.StatusOK
 	if !h.Ready {
@@ -93,8 +101,17 @@
 	return c.JSON(status, h)
 }
 
+// wireDecisions is the body of GET /v1/explain/REQUEST.
+type wireDecisions struct {
+	Decisions []agatelog.Decision `json:"decisions"`
+}
+
 func (e *Entry) handleExplain(c echo.Context) error {
-	return c.JSON(http.StatusOK, e.cfg.Log.Explain(c.Param("request")))
+	list := e.cfg.Log.Explain(c.Param("request"))
+	if len(list) == 0 {
+		return c.JSON(http.StatusNotFound, wireError{Error: "the host keeps no decision on this request"})
+	}
+	return c.JSON(http.StatusOK, wireDecisions{Decisions: list})
 }
 
 // Explain returns what this host decided about a request.
--- a/io/agateentry/announce.go
+++ b/io/agateentry/announce.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -43,7 +45,12 @@
 func (e *Entry) handleAnnounce(c echo.Context) error {
 	var wire wireAnnouncement
 	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncement))
-	if err := dec.Decode(&wire); err != nil {
+	err := dec.Decode(&wire)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return c.JSON(http.StatusRequestEntityTooLarge, wireError{Error: "announcement: more than " + strconv.Itoa(maxAnnouncement) + " bytes"})
+	case err != nil:
 		return c.JSON(http.StatusBadRequest, wireError{Error: "announcement: " + err.Error()})
 	}
 	a, problem := wire.announcement()
@@ -63,7 +70,7 @@
 	}
 	out := wireReceipt{Receipt: receipt.String(), Interval: agateroute.DefaultInterval.Milliseconds()}
 	if receipt == agateroute.Invalid {
-		return c.JSON(http.StatusUnprocessableEntity, out)
+		return c.JSON(http.StatusUnprocessableEntity, wireError{Error: "announcement: slots, connections and load must be in range"})
 	}
 	return c.JSON(http.StatusOK, out)
 }
--- a/io/agateentry/call.go
+++ b/io/agateentry/call.go
@@ -3,10 +3,12 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -132,6 +134,9 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return bad(http.StatusRequestEntityTooLarge, "body")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		rep := refusal(http.StatusRequestTimeout, outcomeNotRun, "body", minRetryAfter)
+		return nil, &rep
 	case err != nil:
 		return bad(http.StatusBadRequest, "body")
 	}
@@ -157,13 +162,19 @@
 	if r.URL.RawQuery != "" {
 		cl.path += "?" + r.URL.RawQuery
 	}
-	if (cl.class == agateinventory.Action && cl.key == "") || len(cl.key) > maxKey {
+	if (cl.class == agateinventory.Action && cl.key == "") || !validKey(cl.key) {
 		rep := refusal(http.StatusBadRequest, outcomeNotRun, "idempotency-key", 0)
 		return cl, &rep
 	}
 	return cl, nil
 }
 
+// validKey reports whether a key has at most maxKey bytes of printable ASCII.
+// The records of the control group hold keys as UTF-8 text.
+func validKey(key string) bool {
+	return len(key) <= maxKey && !strings.ContainsFunc(key, func(r rune) bool { return r < ' ' || r > '~' })
+}
+
 // splitPath splits "/v1/call/SERVICE/PATH" into SERVICE and "/PATH".
 func splitPath(escaped string) (service, path string) {
 	rest := strings.TrimPrefix(escaped, "/v1/call/")
@@ -206,8 +217,8 @@
 	}
 	body := rep.body
 	if rep.header == nil {
-		h.Set("Content-Type", "text/plain; charset=utf-8")
-		body = []byte(fmt.Sprintf("agategate: %s: %s\n", rep.outcome, rep.reason))
+		h.Set("Content-Type", echo.MIMEApplicationJSON)
+		body, _ = json.Marshal(wireError{Error: string(rep.outcome) + ": " + rep.reason}) // a string always has a JSON form
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(rep.status)
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -189,7 +189,10 @@
 		Handler:     e.callerRoutes(),
 		Conns:       e.cfg.Settings.Limit.Connections,
 		HeaderBytes: e.cfg.Settings.Limit.Header,
+		HeaderTime:  e.cfg.Settings.Wait.Header,
 		ReadTime:    e.cfg.Settings.Wait.Body,
+		IdleTime:    e.cfg.Settings.Wait.Idle,
+		Log:         e.log.Named("callers"),
 	})
 	if err != nil {
 		return fmt.Errorf("agateentry: %w", err)
--- a/io/agateentry/lookup.go
+++ b/io/agateentry/lookup.go
@@ -155,6 +155,9 @@
 func (e *Entry) handleLookup(c echo.Context) error {
 	begun := time.Now()
 	service := c.QueryParam("service")
+	if service == "" {
+		return c.JSON(http.StatusBadRequest, wireError{Error: "look-up: service is missing"})
+	}
 	if e.inventory.Load().Service(service) == nil {
 		return c.JSON(http.StatusNotFound, wireError{Error: "look-up: no such service"})
 	}
--- a/io/agateops/client.go
+++ b/io/agateops/client.go
@@ -68,6 +68,13 @@
 	return fmt.Sprintf("agateops: %s: %s", e.Outcome, e.Text)
 }
 
+func orDefault(d, def time.Duration) time.Duration {
+	if d <= 0 {
+		return def
+	}
+	return d
+}
+
 // NewClient returns a client, or an error if an address is not usable.
 func NewClient(cfg ClientConfig) (*Client, error) {
 	cfg.Attempt = orDefault(cfg.Attempt, defaultAttempt)
--- a/io/agateops/ops.go
+++ b/io/agateops/ops.go
@@ -1,7 +1,6 @@
 // Package agateops is the operators' HTTP+JSON interface: the handlers of a
-// control process, the handlers of an entry process's admin listener, and the
-// client that the operator commands use. docs/api.md describes every
-// endpoint.
+// control process and the client that the operator commands use. docs/api.md
+// describes every endpoint.
 //
 // # Usage
 //
@@ -9,8 +8,7 @@
 //		Config: replica.Config, Apply: replica.Apply, Status: replica.Status,
 //		Explain: replica.Explain, Members: replica.Members, Ready: replica.Ready,
 //	})
-//	srv := agateops.NewServer(agateops.ServerConfig{Handler: handler, Log: log})
-//	err := srv.Serve(listener)
+//	srv, err := agateserve.Start(agateserve.Config{Address: admin, Handler: handler})
 package agateops
 
 import (
@@ -23,7 +21,6 @@
 	"github.com/labstack/echo/v4"
 
 	"agategate/core/agateinventory"
-	"agategate/io/agatelog"
 )
 
 // Headers of the interface.
@@ -89,7 +86,7 @@
 		cfg.Log = hclog.NewNullLogger()
 	}
 	h := &handler{cfg: cfg, jobs: make(chan struct{}, cfg.Jobs), parse: make(chan struct{}, 1)}
-	e := newEcho()
+	e := NewEcho()
 	e.GET("/v1/config", h.getConfig)
 	e.PUT("/v1/config", h.putConfig)
 	e.GET("/v1/status", h.getStatus)
@@ -104,32 +101,9 @@
 	return e
 }
 
-// EntryConfig sets up the handlers of an entry process's admin listener.
-type EntryConfig struct {
-	// Explain returns the decisions that the host keeps of a request.
-	Explain func(request string) []agatelog.Decision
-	// Metrics answers GET /metrics.
-	Metrics http.Handler
-	// Ready returns why the host cannot serve, or nil.
-	Ready func() error
-}
-
-// NewEntry returns the handlers of an entry process's admin listener.
-func NewEntry(cfg EntryConfig) http.Handler {
-	e := newEcho()
-	e.GET("/v1/explain/:request", func(c echo.Context) error {
-		list := cfg.Explain(c.Param("request"))
-		if len(list) == 0 {
-			return fail(c, http.StatusNotFound, "the host keeps no decision on this request")
-		}
-		return c.JSON(http.StatusOK, explainBody{Decisions: list})
-	})
-	e.GET("/healthz", health(cfg.Ready))
-	e.GET("/metrics", echo.WrapHandler(cfg.Metrics))
-	return e
-}
-
-func newEcho() *echo.Echo {
+// NewEcho returns a router whose errors, such as those of unknown endpoints,
+// have the body that docs/api.md describes.
+func NewEcho() *echo.Echo {
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
--- a/io/agateops/ops_test.go
+++ b/io/agateops/ops_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"agategate/core/agateinventory"
+	"agategate/internal/agateserve"
 	"agategate/io/agateops"
 )
 
@@ -266,15 +268,14 @@
 	g := newGroup()
 	cfg := g.replica("a", func() string { return "" })
 	cfg.Body, cfg.Jobs = 1024, 1
-	srv := agateops.NewServer(agateops.ServerConfig{
-		Handler: agateops.New(cfg), HeaderWait: 200 * time.Millisecond, BodyWait: 400 * time.Millisecond, Connections: 2,
+	srv, err := agateserve.Start(agateserve.Config{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: agateops.New(cfg),
+		HeaderTime: 200 * time.Millisecond, ReadTime: 400 * time.Millisecond, Conns: 2,
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	go srv.Serve(l)
 	defer srv.Close()
 	status := func(ask string) string {
-		conn, err := net.Dial("tcp", l.Addr().String())
+		conn, err := net.Dial("tcp", srv.Address().String())
 		assert.NilError(t, err)
 		defer conn.Close()
 		fmt.Fprint(conn, ask)
@@ -285,7 +286,7 @@
 	assert.Equal(t, status(put+"Content-Length: 2000\r\n\r\n"+strings.Repeat("#", 2000)), "HTTP/1.1 413 Request Entity Too Large")
 	assert.Equal(t, status("GET /v1/status HTTP/1.1\r\nHost: a\r\nX: "), "")
 	dial := func(ask string) net.Conn {
-		conn, err := net.Dial("tcp", l.Addr().String())
+		conn, err := net.Dial("tcp", srv.Address().String())
 		assert.NilError(t, err)
 		fmt.Fprint(conn, ask)
 		return conn
--- a/io/agateops/status.go
+++ b/io/agateops/status.go
@@ -37,7 +37,7 @@
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	Role    string `json:"role"`  // leader, voter or learner
-	Match   uint64 `json:"match"` // highest log index known to be durable there
+	Match   uint64 `json:"match"` // highest log index that it has applied
 	Alive   bool   `json:"alive"`
 }
 
@@ -104,10 +104,6 @@
 	Missing []string
 }
 
-type explainBody struct {
-	Decisions []agatelog.Decision `json:"decisions"`
-}
-
 type explanation struct {
 	Hosts   []HostDecisions `json:"hosts"`
 	Missing []string        `json:"missing"`
