agatereplica: use internal/agateclock

Cause: two packages read the same boot-time clock. Change: agateclock has the variants for Linux and others; agatereplica uses it. Result: one clock; no change of behaviour.

--- a/io/agatereplica/config.go
+++ b/io/agatereplica/config.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"agategate/core/agatequorum"
+	"agategate/internal/agateclock"
 )
 
 // Defaults of a Config.
@@ -93,7 +94,7 @@
 		return cfg, errors.New("agatereplica: Config lacks a required function")
 	}
 	if cfg.Clock == nil {
-		cfg.Clock = bootTime
+		cfg.Clock = agateclock.Now
 	}
 	if cfg.Rand == nil {
 		cfg.Rand = rand.Uint64
