agatereplica: guard the cut in the group test

Cause: the race detector reported a read of the map of cut replicas beside a write in TestIsolatedLeader, which failed the package. Change: the test sets the cut under the group's lock. Result: no race is reported.

--- a/io/agatereplica/group_test.go
+++ b/io/agatereplica/group_test.go
@@ -137,6 +137,13 @@
 	}
 }
 
+// setCut cuts a replica off, or connects it again.
+func (g *group) setCut(id uint64, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut[id] = cut
+}
+
 func (g *group) send(from, to uint64, msg agatequorum.Message) {
 	data, err := agatereplica.EncodeMessage(msg)
 	assert.NilError(g.t, err)
--- a/io/agatereplica/replica_test.go
+++ b/io/agatereplica/replica_test.go
@@ -110,7 +110,7 @@
 		l := g.leader()
 		propose(t, l, 1)
 		id := l.Status().ID
-		g.cut[id] = true
+		g.setCut(id, true)
 		replaced := make(chan error, 1)
 		go func() {
 			_, err := l.Propose(context.Background(), number(100))
@@ -127,7 +127,7 @@
 		next := g.leader()
 		propose(t, next, 2)
 		propose(t, next, 2)
-		g.cut[id] = false
+		g.setCut(id, false)
 		err = <-replaced
 		assert.Assert(t, errors.As(err, &other), "%v", err)
 		assert.Equal(t, g.sum(1, 2, 3), uint64(5))
