agatemetrics: every declared metric is set

Cause: upstreams, inflight, queue, announced, connections, dropped, suspects, retries, hedges and skipped of entry hosts, and proposals, sync, sessions, grants and spread of control replicas were declared and never set; late missed the deadlines of actions. Change: each is set at its source, and each role declares its metrics at the start, so that those of events show as 0 before the first one. skipped is of entry hosts only, because control replicas record no decisions.

--- a/internal/agateserve/serve.go
+++ b/internal/agateserve/serve.go
@@ -56,6 +56,7 @@
 type Server struct {
 	http   *http.Server
 	ln     net.Listener
+	limit  *limitListener
 	failed chan error
 }
 
@@ -65,11 +66,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("agateserve: %w", err)
 	}
-	ln = newLimitListener(ln, orDefault(cfg.Conns, DefaultConns))
+	limit := newLimitListener(ln, orDefault(cfg.Conns, DefaultConns))
+	ln = limit
 	if cfg.TLS != nil {
 		ln = tls.NewListener(ln, cfg.TLS)
 	}
-	s := &Server{ln: ln, failed: make(chan error, 1)}
+	s := &Server{ln: ln, limit: limit, failed: make(chan error, 1)}
 	s.http = &http.Server{
 		Handler:           cfg.Handler,
 		ReadHeaderTimeout: orDefault(cfg.HeaderTime, DefaultHeaderTime),
@@ -110,6 +112,9 @@
 	return s.ln.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// Open returns the number of open connections.
+func (s *Server) Open() int { return len(s.limit.slots) }
+
 // Failed receives the error of a listener that stopped by itself.
 func (s *Server) Failed() <-chan error { return s.failed }
 
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -86,8 +86,10 @@
 	time     stateTime
 	accepted acceptedTimes
 	granter  granter
-	metrics  *metrics
-	admin    *agateserve.Server
+	// spreadTime is owned by the duty that publishes the metrics.
+	spreadTime spreadTime
+	metrics    *metrics
+	admin      *agateserve.Server
 	// callers holds the addresses (netip.AddrPort) of replicas that sent a
 	// message, by identity.
 	callers sync.Map
@@ -123,6 +125,7 @@
 		revised:  make(chan struct{}, 1),
 		failed:   make(chan struct{}),
 	}
+	cfg.Metrics.Declare("control")
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	store, saved, err := agatestore.Open(agatestore.Config{Dir: cfg.Settings.Data, Logger: cfg.Logger})
 	if err != nil {
@@ -222,7 +225,10 @@
 		Snapshot:  c.machine.Snapshot,
 		Restore:   c.machine.Restore,
 		Append: func(hard agatequorum.Hard, entries []agatequorum.Entry) error {
-			return c.store.Append(agatestore.Batch{Hard: hard, Entries: entries})
+			begun := time.Now()
+			err := c.store.Append(agatestore.Batch{Hard: hard, Entries: entries})
+			c.metrics.set.Histogram(agatemetrics.Sync, "").Record(time.Since(begun))
+			return err
 		},
 		SaveSnapshot: c.store.SaveSnapshot,
 		Logger:       c.log.Named("replica"),
@@ -319,6 +325,7 @@
 	}
 	cmd.Now = c.time.now(r.Status().Term, c.machine.Now()).UnixMilli()
 	out, err := r.Propose(ctx, agatestate.Encode(cmd))
+	c.metrics.proposed(err)
 	if err != nil {
 		return agatestate.Result{}, err
 	}
--- a/io/agatecontrol/service.go
+++ b/io/agatecontrol/service.go
@@ -181,6 +181,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	reply.Result, err = r.Propose(ctx, agatestate.Encode(cmd))
+	s.c.metrics.proposed(err)
 	c.fillError(reply, err)
 	return reply, nil
 }
--- a/io/agatecontrol/summary.go
+++ b/io/agatecontrol/summary.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +11,7 @@
 	"agategate/core/agateinventory"
 	"agategate/io/agatemetrics"
 	"agategate/io/agateops"
+	"agategate/io/agatereplica"
 )
 
 // place is a service in a region.
@@ -112,6 +115,51 @@
 	m.set.Counter(agatemetrics.Changes, outcome).Add(1)
 }
 
+// proposed counts the end of a proposal.
+func (m *metrics) proposed(err error) {
+	var notLeader *agatereplica.NotLeaderError
+	outcome := "applied"
+	switch {
+	case errors.As(err, &notLeader):
+		outcome = "elsewhere"
+	case errors.Is(err, agatereplica.ErrUnknown), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		outcome = "unknown"
+	case err != nil:
+		outcome = "refused"
+	}
+	m.set.Counter(agatemetrics.Proposals, outcome).Add(1)
+}
+
+// spreadTime measures how long accepted revisions take to be in force on all
+// entry hosts. The duty that publishes the metrics owns it.
+type spreadTime struct {
+	last uint64 // newest revision that was measured
+}
+
+// observe records the time of the newest revision once all present hosts have
+// it in force.
+func (s *spreadTime) observe(c *Control, present []session) {
+	revision := c.machine.Config().Revision
+	at, known := c.accepted.at(revision)
+	if !known || revision <= s.last || len(present) == 0 {
+		return
+	}
+	took := time.Duration(0)
+	for _, h := range present {
+		if h.inForce < revision {
+			return
+		}
+		took = max(took, h.since.Sub(at))
+	}
+	s.last = revision
+	c.metrics.set.Histogram(agatemetrics.Spread, "").Record(took)
+}
+
+// present lists the entry hosts with a recent heartbeat to this replica.
+func (c *Control) present(now time.Time) []session {
+	return slices.DeleteFunc(c.sessions.all(), func(h session) bool { return now.Sub(h.at) > sessionLease })
+}
+
 // publish shows the replica's state.
 func (c *Control) publish() {
 	r := c.replica.Load()
@@ -123,7 +171,14 @@
 	if c.leads() {
 		leads = 1
 	}
+	now := time.Now()
+	present := c.present(now)
+	if c.leads() {
+		c.spreadTime.observe(c, present)
+	}
 	set := c.metrics.set
+	set.Gauge(agatemetrics.Sessions, "").Set(float64(len(present)))
+	set.Gauge(agatemetrics.Grants, "").Set(float64(len(c.granted(now))))
 	set.Gauge(agatemetrics.Leader, "").Set(leads)
 	set.Gauge(agatemetrics.Term, "").Set(float64(st.Term))
 	set.Gauge(agatemetrics.Commit, "").Set(float64(st.Commit))
--- a/io/agatedemo/system.go
+++ b/io/agatedemo/system.go
@@ -367,6 +367,18 @@
 // Settings returns the settings of the nth entry host.
 func (s *System) Settings(n int) agatesettings.Entry { return s.entries[n] }
 
+// Admins returns the operators' addresses of the entry hosts and of the
+// control replicas.
+func (s *System) Admins() (entries, controls []netip.AddrPort) {
+	for _, e := range s.entries {
+		entries = append(entries, e.Admin)
+	}
+	for _, c := range s.controls {
+		controls = append(controls, c.Admin)
+	}
+	return entries, controls
+}
+
 // UpstreamIn returns an upstream of a service in a region, or nil.
 func (s *System) UpstreamIn(service, region string) *Upstream {
 	for _, u := range s.Upstreams {
--- a/io/agateentry/action.go
+++ b/io/agateentry/action.go
@@ -224,7 +224,6 @@
 	}
 	a.e.router.finish(d.Upstream, a.last)
 	a.e.shift.sized(a.cl.service, len(a.cl.body)+len(r.Body))
-	a.e.metrics.attempt(a.cl, attempt{decision: d, reply: r, observed: a.last})
 	end := agateaction.Attempt{Started: r.Started, Answer: conclusive(r)}
 	a.ended(func(now time.Duration) []agateaction.Command {
 		if r.Kind == agateupstream.Answered && end.Answer == nil {
--- a/io/agateentry/admin.go
+++ b/io/agateentry/admin.go
@@ -134,6 +134,7 @@
 
 // logDecision records a decision of the table.
 func (e *Entry) logDecision(cl *call, kind agatelog.Kind, d agateroute.Decision) {
+	e.metrics.decided(cl.service, kind, d)
 	line := agatelog.Decision{
 		Request: cl.id,
 		Service: cl.service,
--- a/io/agateentry/announce.go
+++ b/io/agateentry/announce.go
@@ -58,6 +58,7 @@
 		problem = e.checkPlace(a)
 	}
 	if problem != "" {
+		e.metrics.announced("invalid")
 		return c.JSON(http.StatusUnprocessableEntity, wireError{Error: "announcement: " + problem})
 	}
 	receipt, changed, ok := e.announce(a)
@@ -65,6 +66,7 @@
 		c.Response().Header().Set("Retry-After", "1")
 		return c.JSON(http.StatusServiceUnavailable, wireError{Error: "announcement: busy"})
 	}
+	e.metrics.announced(receipt.String())
 	if changed {
 		e.exchange.kick()
 	}
--- a/io/agateentry/call.go
+++ b/io/agateentry/call.go
@@ -102,6 +102,7 @@
 		defer e.bodies.Add(-int64(len(cl.body)))
 	}
 	if bad != nil {
+		e.metrics.refused(bad.reason)
 		writeReply(c.Response(), id, *bad)
 		return nil
 	}
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -150,6 +150,7 @@
 		e.abort()
 		return nil, err
 	}
+	e.publish()
 	e.duties.Go(func() { e.becomeReady(e.ctx) })
 	e.duties.Go(func() { e.beats.run(e.ctx) })
 	e.duties.Go(func() { e.observe(e.ctx) })
--- a/io/agateentry/measure.go
+++ b/io/agateentry/measure.go
@@ -1,12 +1,13 @@
 package agateentry
 
 import (
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"agategate/core/agateroute"
+	"agategate/io/agatelog"
 	"agategate/io/agatemetrics"
-	"agategate/io/agateupstream"
 )
 
 // hedgeTimes are the answer times past which reads are hedged, by service.
@@ -25,6 +26,30 @@
 	return 0
 }
 
+// publish shows the gauges that are read when the metrics are.
+func (e *Entry) publish() {
+	set := e.metrics.set
+	set.Declare("entry")
+	set.Func(agatemetrics.Upstreams, func() any { return e.upstreamsUp() })
+	set.Func(agatemetrics.Connections, func() any { return e.caller.Open() })
+	set.Func(agatemetrics.Dropped, func() any { return map[string]uint64{"route": e.router.tasks.Dropped()} })
+	set.Func(agatemetrics.Suspects, func() any { return e.suspects.count() })
+	set.Func(agatemetrics.Skipped, func() any { return e.cfg.Log.Skipped() })
+}
+
+// upstreamsUp counts the upstreams that announce that they are up, by service.
+func (e *Entry) upstreamsUp() map[string]int {
+	up := make(map[string]int)
+	e.router.do(func(now time.Time) {
+		for _, a := range e.router.table.Export(now, 0).Announcements {
+			if a.State == agateroute.Up {
+				up[a.Service]++
+			}
+		}
+	})
+	return up
+}
+
 // metrics counts what an entry process does.
 type metrics struct {
 	set *agatemetrics.Set
@@ -43,25 +68,47 @@
 }
 
 func (m *metrics) usage(used []agateroute.Usage) {
+	inflight, queue := make(map[string]int), make(map[string]int)
 	for _, u := range used {
 		m.set.Gauge(agatemetrics.Headroom, u.Service+"/"+u.Region).Set(u.Headroom)
+		inflight[u.Service] += u.Own
+		queue[u.Service] += u.Waiting
+	}
+	for service := range inflight {
+		m.set.Gauge(agatemetrics.Inflight, service).Set(float64(inflight[service]))
+		m.set.Gauge(agatemetrics.Queue, service).Set(float64(queue[service]))
 	}
 }
 
-func (m *metrics) attempt(cl *call, a attempt) {
-	if a.reply.Kind == agateupstream.Shed {
-		m.set.Counter(agatemetrics.Refused, "shed").Add(1)
+// decided counts second attempts.
+func (m *metrics) decided(service string, kind agatelog.Kind, d agateroute.Decision) {
+	switch {
+	case d.Verdict != agateroute.Send:
+	case kind == agatelog.Retry:
+		m.set.Counter(agatemetrics.Retries, service).Add(1)
+	case kind == agatelog.Hedge:
+		m.set.Counter(agatemetrics.Hedges, service).Add(1)
 	}
 }
 
+// announced counts an announcement of an upstream.
+func (m *metrics) announced(verdict string) {
+	m.set.Counter(agatemetrics.Announced, verdict).Add(1)
+}
+
+// refused counts a request that was refused before it was classified.
+func (m *metrics) refused(reason string) {
+	m.set.Counter(agatemetrics.Refused, reason).Add(1)
+}
+
 // ended counts the final answer to a call.
 func (m *metrics) ended(cl *call, rep reply, took time.Duration) {
 	m.set.Counter(agatemetrics.Requests, cl.service).Add(1)
 	switch {
-	case rep.reason == "deadline":
+	case rep.status == http.StatusGatewayTimeout && (rep.reason == "deadline" || rep.reason == "late"):
 		m.set.Counter(agatemetrics.Late, cl.service).Add(1)
 	case rep.outcome == outcomeNotRun:
-		m.set.Counter(agatemetrics.Refused, rep.reason).Add(1)
+		m.refused(rep.reason)
 	case rep.outcome == outcomeUnknown:
 		m.set.Counter(agatemetrics.Unknown, cl.service).Add(1)
 	default:
--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -146,7 +146,6 @@
 	}
 	e.router.finish(d.Upstream, a.observed)
 	e.shift.sized(cl.service, len(cl.body)+len(r.Body))
-	e.metrics.attempt(cl, a)
 	return a
 }
 
--- a/io/agateentry/suspect.go
+++ b/io/agateentry/suspect.go
@@ -139,6 +139,19 @@
 	return s.tracker.Index()
 }
 
+// count returns the number of fingerprints that run only alone or are refused.
+func (s *suspects) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, r := range s.tracker.Since(0) {
+		if s.tracker.Check(r.Print) != agatesuspect.Clear {
+			n++
+		}
+	}
+	return n
+}
+
 // control takes what the control group knows.
 func (s *suspects) control(reply *agatewire.BeatReply) {
 	s.mu.Lock()
--- a/io/agatemetrics/metrics.go
+++ b/io/agatemetrics/metrics.go
@@ -73,6 +73,33 @@
 	return m.HeapAlloc
 }
 
+// Declare publishes the metrics of a role, "entry" or "control", so that those
+// of events that have not happened yet show as empty or 0.
+func (s *Set) Declare(role string) {
+	for _, m := range Metrics {
+		if m.Role != role && m.Role != "both" {
+			continue
+		}
+		if m.Label != "" {
+			s.mu.Lock()
+			s.group(m.Name)
+			s.mu.Unlock()
+			continue
+		}
+		if s.vars.Get(string(m.Name)) != nil {
+			continue // of the process itself
+		}
+		switch m.Kind {
+		case "counter":
+			s.Counter(m.Name, "")
+		case "gauge":
+			s.Gauge(m.Name, "")
+		case "histogram":
+			s.Histogram(m.Name, "")
+		}
+	}
+}
+
 // Counter returns a counter. The label is empty for a metric without parts.
 func (s *Set) Counter(name Name, label string) *expvar.Int {
 	return get(s, name, label, maxLabels, func() *expvar.Int { return new(expvar.Int) })
@@ -126,11 +153,16 @@
 		s.vars.Set(string(name), v)
 		return
 	}
+	s.group(name).Set(label, v)
+}
+
+// group returns the parts of a metric with labels. The caller holds mu.
+func (s *Set) group(name Name) *expvar.Map {
 	if s.groups[name] == nil {
 		s.groups[name] = new(expvar.Map).Init()
 		s.vars.Set(string(name), s.groups[name])
 	}
-	s.groups[name].Set(label, v)
+	return s.groups[name]
 }
 
 // String returns all metrics as a JSON object.
--- a/io/agatemetrics/name.go
+++ b/io/agatemetrics/name.go
@@ -25,12 +25,12 @@
 	Dropped     Name = "dropped"
 	Suspects    Name = "suspects"
 	Beats       Name = "beats"
+	Skipped     Name = "skipped"
 )
 
 // Metrics of both processes.
 const (
 	Revision   Name = "revision"
-	Skipped    Name = "skipped"
 	Uptime     Name = "uptime"
 	Goroutines Name = "goroutines"
 	Heap       Name = "heap"
@@ -69,13 +69,13 @@
 var Metrics = []Metric{
 	{Requests, "counter", "service", "requests", "entry", "requests received"},
 	{Answered, "counter", "service", "requests", "entry", "requests whose whole answer was sent before the deadline"},
-	{Late, "counter", "service", "requests", "entry", "requests whose deadline passed without an answer"},
-	{Refused, "counter", "reason", "requests", "entry", "requests refused as not run"},
-	{Unknown, "counter", "service", "requests", "entry", "actions whose caller was told unknown"},
+	{Late, "counter", "service", "requests", "entry", "requests whose caller was told that the deadline passed"},
+	{Refused, "counter", "reason", "requests", "entry", "requests refused as not run, malformed ones included"},
+	{Unknown, "counter", "service", "requests", "entry", "other requests whose caller was told unknown"},
 	{Retries, "counter", "service", "requests", "entry", "second attempts after a failed one"},
 	{Hedges, "counter", "service", "requests", "entry", "second attempts beside a slow one"},
 	{Latency, "histogram", "service", "µs", "entry", "time from the request to its whole answer"},
-	{Upstreams, "gauge", "service", "upstreams", "entry", "upstreams that may get new work"},
+	{Upstreams, "gauge", "service", "upstreams", "entry", "upstreams that announce that they are up"},
 	{Inflight, "gauge", "service", "requests", "entry", "requests sent to upstreams and not answered"},
 	{Queue, "gauge", "service", "requests", "entry", "requests that wait for an upstream"},
 	{Headroom, "gauge", "service/region", "requests/s", "entry", "capacity below the target utilisation that is not in use"},
@@ -85,10 +85,10 @@
 	{Announced, "counter", "verdict", "announcements", "entry", "announcements received"},
 	{Connections, "gauge", "", "connections", "entry", "open connections of callers"},
 	{Dropped, "counter", "ring", "items", "entry", "items that found the ring between two duties full"},
-	{Suspects, "gauge", "", "requests", "entry", "fingerprints of requests that upstreams died of"},
+	{Suspects, "gauge", "", "requests", "entry", "fingerprints of requests that run only alone or are refused because upstreams died of them"},
 	{Beats, "counter", "outcome", "heartbeats", "entry", "heartbeats to the control leader"},
+	{Skipped, "counter", "", "lines", "entry", "lines of routine decisions that sampling left out"},
 	{Revision, "gauge", "", "revisions", "both", "configuration revision in force"},
-	{Skipped, "counter", "", "lines", "both", "lines of routine decisions that sampling left out"},
 	{Uptime, "gauge", "", "s", "both", "time since the start"},
 	{Goroutines, "gauge", "", "goroutines", "both", "goroutines"},
 	{Heap, "gauge", "", "bytes", "both", "memory of live objects"},
