agatewire: explain carries the action flag and the candidates

Cause: the message Decided had only the number of candidates, so that "agategate explain" called each action a read and named no candidate. Change: Decided carries the flag, the candidates and the number compared. The entry host records the chosen upstream with its expected time; the table gives only the number of the others.

--- a/io/agatecli/explain.go
+++ b/io/agatecli/explain.go
@@ -60,6 +60,9 @@
 	}
 	a.printf("%s %s: %s of %s %s: chose %q because %s; %s, took %s\n",
 		stamp(d.Time), host, d.Kind, d.Service, class, d.Choice, d.Reason, d.Outcome, d.Took)
+	if d.Compared > 0 {
+		a.printf("  compared: %d\n", d.Compared)
+	}
 	for _, c := range d.Considered {
 		note := c.Note
 		if note == "" {
--- a/io/agatecontrol/operate.go
+++ b/io/agatecontrol/operate.go
@@ -330,7 +330,19 @@
 			Reason:  d.Reason,
 			Outcome: agatelog.Outcome(d.Outcome),
 			Took:    time.Duration(d.Took),
+
+			Action:     d.Action,
+			Considered: fromWireCandidates(d.Considered),
+			Compared:   int(d.Compared),
 		})
 	}
 	return out, nil
 }
+
+func fromWireCandidates(list []*agatewire.Candidate) []agatelog.Candidate {
+	out := make([]agatelog.Candidate, 0, len(list))
+	for _, c := range list {
+		out = append(out, agatelog.Candidate{Name: c.Name, Cost: time.Duration(c.Cost), Note: c.Note})
+	}
+	return out
+}
--- a/io/agateentry/admin.go
+++ b/io/agateentry/admin.go
@@ -124,7 +124,9 @@
 			Service:    d.Service,
 			Choice:     d.Choice,
 			Reason:     d.Reason,
-			Considered: int64(len(d.Considered)),
+			Considered: toWireCandidates(d.Considered),
+			Compared:   int64(d.Compared),
+			Action:     d.Action,
 			Outcome:    string(d.Outcome),
 			Took:       int64(d.Took),
 		})
@@ -132,6 +134,14 @@
 	return reply, nil
 }
 
+func toWireCandidates(list []agatelog.Candidate) []*agatewire.Candidate {
+	out := make([]*agatewire.Candidate, 0, len(list))
+	for _, c := range list {
+		out = append(out, &agatewire.Candidate{Name: c.Name, Cost: int64(c.Cost), Note: c.Note})
+	}
+	return out
+}
+
 // logDecision records a decision of the table.
 func (e *Entry) logDecision(cl *call, kind agatelog.Kind, d agateroute.Decision) {
 	e.metrics.decided(cl.service, kind, d)
@@ -144,6 +154,11 @@
 		Reason:  string(d.Reason),
 		Outcome: agatelog.Sent,
 		Took:    time.Since(cl.arrived),
+		// The table names the one that it chose and the number of the others.
+		Compared: d.Considered,
+	}
+	if d.Upstream != "" {
+		line.Considered = []agatelog.Candidate{{Name: string(d.Upstream), Cost: d.Expected}}
 	}
 	if d.Verdict != agateroute.Send {
 		line.Outcome = agatelog.Refused
--- a/io/agatelog/decision.go
+++ b/io/agatelog/decision.go
@@ -71,12 +71,15 @@
 	Service string    `json:"service"`
 	Kind    Kind      `json:"kind"`
 	// Action is set for a request that must not repeat.
-	Action     bool          `json:"action"`
-	Choice     string        `json:"choice"`
-	Reason     string        `json:"reason"`
-	Considered []Candidate   `json:"considered"`
-	Outcome    Outcome       `json:"outcome"`
-	Took       time.Duration `json:"took"`
+	Action     bool        `json:"action"`
+	Choice     string      `json:"choice"`
+	Reason     string      `json:"reason"`
+	Considered []Candidate `json:"considered"`
+	// Compared is the number of candidates, those without a name in Considered
+	// included. It is 0 if it was not counted.
+	Compared int           `json:"compared"`
+	Outcome  Outcome       `json:"outcome"`
+	Took     time.Duration `json:"took"`
 }
 
 // routine reports whether the line of a decision may be skipped. Only kinds
