--- a/io/agatecontrol/group.go
+++ b/io/agatecontrol/group.go
@@ -70,6 +70,9 @@
 			members = append(members, agatequorum.Member{ID: reply.Id, Address: m.Address})
 		}
 	}
+	if reply, ok := c.added(); ok {
+		return c.adopt(reply), true
+	}
 	if c.cfg.Settings.Join || !first || len(members) != len(c.cfg.Settings.Members) {
 		return nil, false
 	}
@@ -78,6 +81,20 @@
 	return members, true
 }
 
+// added asks the replicas that sent a message. A replica that waits to be
+// added knows no initial members and hears of its group when the leader
+// begins to send to it.
+func (c *Control) added() (reply *agatewire.GroupReply, ok bool) {
+	c.callers.Range(func(_, addr any) bool {
+		r, err := c.askGroup(addr.(netip.AddrPort))
+		if err == nil && !r.Fresh {
+			reply = r
+		}
+		return reply == nil
+	})
+	return reply, reply != nil
+}
+
 // adopt returns the first membership of a group that has not changed since,
 // if this replica is in it.
 func (c *Control) adopt(reply *agatewire.GroupReply) agatequorum.Members {
--- a/io/agatecontrol/service.go
+++ b/io/agatecontrol/service.go
@@ -48,8 +48,7 @@
 }
 
 func (c *Control) deliver(e *agatewire.Envelope) error {
-	r := c.replica.Load()
-	if r == nil || e.To != c.id {
+	if e.To != c.id {
 		return nil // meant for an earlier identity at this address
 	}
 	m, err := agatereplica.DecodeMessage(e.Message)
@@ -59,7 +58,9 @@
 	if m.Address.IsValid() {
 		c.callers.Store(m.From, m.Address)
 	}
-	r.Deliver(e.From, m)
+	if r := c.replica.Load(); r != nil {
+		r.Deliver(e.From, m)
+	}
 	return nil
 }
 
--- a/test/verb_test.go
+++ b/test/verb_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -28,6 +29,7 @@
 	"signal":   doSignal,
 	"exit":     doExit,
 	"wipe":     doWipe,
+	"join":     doJoin,
 	"operate":  doOperate,
 	"apply":    doApply,
 	"inforce":  doInForce,
@@ -129,6 +131,31 @@
 	ts.Check(os.RemoveAll(filepath.Join(of(ts).dir, "data", args[0])))
 }
 
+// doJoin starts a control replica that waits until the group adds it, sets
+// $PEER to its address and waits until it listens there.
+func doJoin(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "join NAME")
+	s := of(ts)
+	file := filepath.Join(s.dir, args[0]+".toml")
+	text, err := os.ReadFile(file)
+	ts.Check(err)
+	text = regexp.MustCompile(`(?m)^members = .*$`).ReplaceAll(text, []byte("join = true"))
+	ts.Check(os.WriteFile(file, text, 0o600))
+	s.start(ts, args[0])
+	for _, h := range s.controls {
+		if h.name == args[0] {
+			ts.Setenv("PEER", h.peer.String())
+			until(ts, startTime, func() error {
+				conn, err := net.Dial("tcp", h.peer.String())
+				if err != nil {
+					return err
+				}
+				return conn.Close()
+			})
+		}
+	}
+}
+
 // doOperate runs an operator's command; "want" then matches its output.
 func doOperate(ts *testscript.TestScript, neg bool, args []string) {
 	s := of(ts)
