docs: operators' page follows the code

Cause: the page lacked most log lines and the states of a planned stop, and described a repair, drains and failures differently from the code. Tests compare the log lines of the code with it and run its commands in the scenario pages.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -115,6 +117,82 @@
 	return args
 }
 
+// remote are the commands that need a running system.
+var remote = []string{"apply", "show", "drain", "undrain", "status", "explain", "member"}
+
+// Commands on the pages that need a running system must be run as they are
+// written by the scenario that lists them.
+func TestRemoteCommands(t *testing.T) {
+	data, err := os.ReadFile("../test/testdata/pages.txt")
+	assert.NilError(t, err)
+	var run [][]string
+	for line := range strings.Lines(string(data)) {
+		if words := strings.Fields(strings.TrimPrefix(line, "! ")); len(words) > 1 && words[0] == "operate" {
+			run = append(run, words[1:])
+		}
+	}
+	found := 0
+	for _, page := range []string{"../README.md", "operations.md"} {
+		data, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		for line := range strings.Lines(string(data)) {
+			for _, code := range codeOf(line) {
+				words := remoteCommand(code)
+				if words == nil {
+					continue
+				}
+				found++
+				covered := slices.ContainsFunc(run, func(r []string) bool { return slices.EqualFunc(words, r, sameWord) })
+				assert.Check(t, covered, "%s: %v is not run by pages.txt", page, words)
+			}
+		}
+	}
+	assert.Assert(t, found >= 15, "only %d commands were found", found)
+}
+
+// remoteCommand returns the arguments of a command that needs a running
+// system, without the description that follows two spaces. A name alone is a
+// reference to the command.
+func remoteCommand(code string) []string {
+	code, _, _ = strings.Cut(strings.TrimPrefix(strings.TrimSpace(code), "./"), "  ")
+	words := strings.Fields(code)
+	if len(words) < 2 || words[0] != "agategate" || !slices.Contains(remote, words[1]) {
+		return nil
+	}
+	if len(words) == 2 && words[1] != "status" && words[1] != "show" {
+		return nil
+	}
+	return words[1:]
+}
+
+// sameWord compares a word of a page with one of the scenario. Words in
+// capitals and files stand for values.
+func sameWord(page, run string) bool {
+	return page == run || strings.ToUpper(page) == page && !strings.HasPrefix(page, "-") && strings.Trim(page, "0123456789.") != "" ||
+		strings.HasSuffix(page, "inventory.toml") && strings.HasSuffix(run, "inventory.toml")
+}
+
+// Every line that a package writes must be explained to operators.
+func TestLogLines(t *testing.T) {
+	page, err := os.ReadFile("operations.md")
+	assert.NilError(t, err)
+	line := regexp.MustCompile(`\.(?:Info|Warn|Error|placed)\("([^"]+)"`)
+	found := 0
+	err = filepath.WalkDir("../io", func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range line.FindAllStringSubmatch(string(text), -1) {
+			found++
+			assert.Check(t, strings.Contains(string(page), "`"+m[1]+"`"), "%s: %q is not on the page", path, m[1])
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, found >= 30, "only %d lines were found", found)
+}
+
 // Every command that the pages name must exist, with the flags that are shown.
 func TestCommandsExist(t *testing.T) {
 	t.Chdir("..")
--- a/test/verb_test.go
+++ b/test/verb_test.go
@@ -30,6 +30,7 @@
 	"exit":     doExit,
 	"wipe":     doWipe,
 	"join":     doJoin,
+	"identity": doIdentity,
 	"operate":  doOperate,
 	"apply":    doApply,
 	"inforce":  doInForce,
@@ -156,6 +157,20 @@
 	}
 }
 
+// doIdentity sets $ID to the identity of a member of the control group.
+func doIdentity(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "identity NAME")
+	st, err := of(ts).status(ts)
+	ts.Check(err)
+	for _, m := range st.Members {
+		if m.Name == args[0] {
+			ts.Setenv("ID", strconv.FormatUint(m.ID, 10))
+			return
+		}
+	}
+	ts.Fatalf("no member %q", args[0])
+}
+
 // doOperate runs an operator's command; "want" then matches its output.
 func doOperate(ts *testscript.TestScript, neg bool, args []string) {
 	s := of(ts)
