agaterun: the keys marked reload are reloaded

Cause: SIGHUP reported limits, waits, grace and retention as applied, but only log.level and log.sample were read again. Change: grace is taken over; the other keys are marked restart.

--- a/io/agaterun/run.go
+++ b/io/agaterun/run.go
@@ -40,6 +40,8 @@
 // runner holds what a reload of the settings changes.
 type runner struct {
 	log atomic.Pointer[agatelog.Log]
+	// grace is the longest time of a planned stop, in nanoseconds.
+	grace atomic.Int64
 }
 
 func (r *runner) open(name string, s agatesettings.Log) *agatelog.Log {
@@ -61,8 +63,15 @@
 	}
 }
 
-func (r *runner) reloadEntry(s agatesettings.Entry)     { r.reload(s.Log) }
-func (r *runner) reloadControl(s agatesettings.Control) { r.reload(s.Log) }
+func (r *runner) reloadEntry(s agatesettings.Entry) {
+	r.reload(s.Log)
+	r.grace.Store(int64(s.Grace))
+}
+
+func (r *runner) reloadControl(s agatesettings.Control) {
+	r.reload(s.Log)
+	r.grace.Store(int64(s.Grace))
+}
 
 // tlsFor returns the configuration of both ends, or nil for plain text, which
 // is logged.
@@ -78,6 +87,7 @@
 // entry runs an entry process until ctx ends, then stops it as planned.
 func (r *runner) entry(ctx context.Context, s agatesettings.Entry) error {
 	log := r.open(s.Name, s.Log)
+	r.grace.Store(int64(s.Grace))
 	secure, err := tlsFor(log, s.TLS)
 	if err != nil {
 		return err
@@ -93,12 +103,13 @@
 		return err
 	}
 	<-ctx.Done()
-	return stop(s.Grace, e.Stop)
+	return r.stop(e.Stop)
 }
 
 // control runs a control replica until ctx ends, then stops it as planned.
 func (r *runner) control(ctx context.Context, s agatesettings.Control) error {
 	log := r.open(s.Name, s.Log)
+	r.grace.Store(int64(s.Grace))
 	secure, err := tlsFor(log, s.TLS)
 	if err != nil {
 		return err
@@ -116,17 +127,17 @@
 	}
 	select {
 	case <-ctx.Done():
-		return stop(s.Grace, c.Stop)
+		return r.stop(c.Stop)
 	case <-c.Failed():
 		err := c.Fault()
-		_ = stop(s.Grace, c.Stop)
+		_ = r.stop(c.Stop)
 		return fmt.Errorf("agaterun: replica stopped: %w", err)
 	}
 }
 
 // stop calls a planned stop with its longest time.
-func stop(grace time.Duration, planned func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
+func (r *runner) stop(planned func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(r.grace.Load()))
 	defer cancel()
 	return planned(ctx)
 }
--- a/io/agatesettings/settings.go
+++ b/io/agatesettings/settings.go
@@ -45,22 +45,22 @@
 // EntryLimit bounds what callers and upstreams can make an entry process
 // hold.
 type EntryLimit struct {
-	Queue       int `toml:"queue" default:"512" unit:"requests" min:"1" max:"1000000" reload:"yes" help:"requests that wait for an upstream, per service"`
-	Body        int `toml:"body" default:"1048576" unit:"bytes" min:"1" max:"1073741824" reload:"yes" help:"largest body of a request"`
-	Reply       int `toml:"reply" default:"4194304" unit:"bytes" min:"1" max:"1073741824" reload:"yes" help:"largest answer of an upstream"`
+	Queue       int `toml:"queue" default:"512" unit:"requests" min:"1" max:"1000000" help:"requests that wait for an upstream, per service"`
+	Body        int `toml:"body" default:"1048576" unit:"bytes" min:"1" max:"1073741824" help:"largest body of a request"`
+	Reply       int `toml:"reply" default:"4194304" unit:"bytes" min:"1" max:"1073741824" help:"largest answer of an upstream"`
 	Header      int `toml:"header" default:"65536" unit:"bytes" min:"1024" max:"1048576" help:"largest header of a request"`
-	Connections int `toml:"connections" default:"4096" unit:"connections" min:"1" max:"1000000" reload:"yes" help:"open connections of callers"`
+	Connections int `toml:"connections" default:"4096" unit:"connections" min:"1" max:"1000000" help:"open connections of callers"`
 }
 
 // EntryWait is the deadlines of an entry process.
 type EntryWait struct {
-	Deadline time.Duration `toml:"deadline" default:"60s" min:"1ms" max:"1h" reload:"yes" help:"longest deadline that a caller may ask for"`
+	Deadline time.Duration `toml:"deadline" default:"60s" min:"1ms" max:"1h" help:"longest deadline that a caller may ask for"`
 	Header   time.Duration `toml:"header" default:"5s" min:"1ms" max:"10m" help:"time for a caller to send the header"`
-	Body     time.Duration `toml:"body" default:"10s" min:"1ms" max:"10m" reload:"yes" help:"time for a caller to send the body"`
+	Body     time.Duration `toml:"body" default:"10s" min:"1ms" max:"10m" help:"time for a caller to send the body"`
 	Idle     time.Duration `toml:"idle" default:"60s" min:"1ms" max:"1h" help:"time that an idle connection of a caller is kept"`
-	Connect  time.Duration `toml:"connect" default:"250ms" min:"1ms" max:"1m" reload:"yes" help:"time to open a connection to an upstream"`
-	Control  time.Duration `toml:"control" default:"1s" min:"1ms" max:"1m" reload:"yes" help:"time for one call to a control replica"`
-	Answer   time.Duration `toml:"answer" default:"5s" min:"0s" max:"10m" reload:"yes" help:"time that the answer to an action is awaited after the caller's deadline"`
+	Connect  time.Duration `toml:"connect" default:"250ms" min:"1ms" max:"1m" help:"time to open a connection to an upstream"`
+	Control  time.Duration `toml:"control" default:"1s" min:"1ms" max:"1m" help:"time for one call to a control replica"`
+	Answer   time.Duration `toml:"answer" default:"5s" min:"0s" max:"10m" help:"time that the answer to an action is awaited after the caller's deadline"`
 }
 
 // Control is the settings of a control process.
@@ -73,7 +73,7 @@
 	Admin     netip.AddrPort `toml:"admin" need:"yes" help:"address for operators (HTTP)"`
 	Members   []Member       `toml:"members" help:"initial members, each as name=address of its peer listener; only read when the data directory is empty"`
 	Join      bool           `toml:"join" default:"false" help:"start without members and wait until the group adds this replica"`
-	Retention time.Duration  `toml:"retention" default:"24h" min:"1m" max:"8760h" reload:"yes" help:"time that records of finished actions are kept"`
+	Retention time.Duration  `toml:"retention" default:"24h" min:"1m" max:"8760h" help:"time that records of finished actions are kept"`
 	Grace     time.Duration  `toml:"grace" default:"10s" min:"0s" max:"1h" reload:"yes" help:"longest time of a planned stop"`
 	Record    Record         `toml:"record"`
 	Limit     ControlLimit   `toml:"limit"`
