--- a/io/agateentry/announce.go
+++ b/io/agateentry/announce.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -43,7 +45,12 @@
 func (e *Entry) handleAnnounce(c echo.Context) error {
 	var wire wireAnnouncement
 	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncement))
-	if err := dec.Decode(&wire); err != nil {
+	err := dec.Decode(&wire)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return c.JSON(http.StatusRequestEntityTooLarge, wireError{Error: "announcement: more than " + strconv.Itoa(maxAnnouncement) + " bytes"})
+	case err != nil:
 		return c.JSON(http.StatusBadRequest, wireError{Error: "announcement: " + err.Error()})
 	}
 	a, problem := wire.announcement()
@@ -51,6 +58,7 @@
 		problem = e.checkPlace(a)
 	}
 	if problem != "" {
+		e.metrics.announced("invalid")
 		return c.JSON(http.StatusUnprocessableEntity, wireError{Error: "announcement: " + problem})
 	}
 	receipt, changed, ok := e.announce(a)
@@ -58,12 +66,13 @@
 		c.Response().Header().Set("Retry-After", "1")
 		return c.JSON(http.StatusServiceUnavailable, wireError{Error: "announcement: busy"})
 	}
+	e.metrics.announced(receipt.String())
 	if changed {
 		e.exchange.kick()
 	}
 	out := wireReceipt{Receipt: receipt.String(), Interval: agateroute.DefaultInterval.Milliseconds()}
 	if receipt == agateroute.Invalid {
-		return c.JSON(http.StatusUnprocessableEntity, out)
+		return c.JSON(http.StatusUnprocessableEntity, wireError{Error: "announcement: slots, connections and load must be in range"})
 	}
 	return c.JSON(http.StatusOK, out)
 }
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -156,6 +156,7 @@
 		e.abort()
 		return nil, err
 	}
+	e.publish()
 	e.duties.Go(func() { e.becomeReady(e.ctx) })
 	e.duties.Go(func() { e.beats.run(e.ctx) })
 	e.duties.Go(func() { e.observe(e.ctx) })
@@ -195,7 +196,10 @@
 		Handler:     e.callerRoutes(),
 		Conns:       e.cfg.Settings.Limit.Connections,
 		HeaderBytes: e.cfg.Settings.Limit.Header,
+		HeaderTime:  e.cfg.Settings.Wait.Header,
 		ReadTime:    e.cfg.Settings.Wait.Body,
+		IdleTime:    e.cfg.Settings.Wait.Idle,
+		Log:         e.log.Named("callers"),
 	})
 	if err != nil {
 		return fmt.Errorf("agateentry: %w", err)
