agateaction: a caller that is given up on waits 250 ms for its release

Cause: an action whose claim was not committed waited as long again for its release, so that a caller heard unknown only near its deadline. Change: the caller waits 250 ms for the release, which is committed in the background in any case. Conclusion: what is given up on gets its final answer soon.

--- a/core/agateaction/action.go
+++ b/core/agateaction/action.go
@@ -32,6 +32,7 @@
 const (
 	DefaultGrace  = 5 * time.Second
 	DefaultClaim  = 500 * time.Millisecond
+	DefaultCommit = 250 * time.Millisecond
 	DefaultRecord = time.Minute
 	DefaultResend = 100 * time.Millisecond
 	// DefaultRetryAfter is told with unknown outcomes; it equals the hold of
@@ -59,9 +60,13 @@
 	// awaited. The default is 5 s.
 	Grace time.Duration
 	// Claim is how long the claim may take to be committed before it is
-	// released, and how long the caller then waits for the release. The
-	// default is 500 ms.
+	// released, and how long a refusal without a claim may take. The default
+	// is 500 ms.
 	Claim time.Duration
+	// Commit is how long the caller waits for a release, which turns its
+	// answer from unknown into not run. A caller that was given up on is not
+	// kept for longer. The default is 250 ms.
+	Commit time.Duration
 	// Record is how long after the caller's reply an answer or a release is
 	// sent again until it is committed. The default is 1 min.
 	Record time.Duration
@@ -73,6 +78,7 @@
 func (cfg Config) withDefaults() Config {
 	orDefault(&cfg.Grace, DefaultGrace)
 	orDefault(&cfg.Claim, DefaultClaim)
+	orDefault(&cfg.Commit, DefaultCommit)
 	orDefault(&cfg.Record, DefaultRecord)
 	orDefault(&cfg.Resend, DefaultResend)
 	return cfg
@@ -134,12 +140,12 @@
 func (a *Action) arrive(now time.Duration) {
 	a.deadline = now + a.cfg.Deadline
 	a.giveUp = a.deadline + a.cfg.Record
-	a.wait(now)
+	a.wait(now, a.cfg.Claim)
 }
 
 // wait starts the caller's patience with the control group.
-func (a *Action) wait(now time.Duration) {
-	a.patience = min(a.deadline, now+a.cfg.Claim)
+func (a *Action) wait(now, most time.Duration) {
+	a.patience = min(a.deadline, now+most)
 }
 
 // Refusal is why and how an action is not admitted.
--- a/core/agateaction/control.go
+++ b/core/agateaction/control.go
@@ -110,7 +110,7 @@
 // release gives the claim back. From here on the action is never dispatched.
 func (a *Action) release(now time.Duration, r Refusal) []Command {
 	a.phase = releasing
-	a.wait(now)
+	a.wait(now, a.cfg.Commit)
 	a.refusal = notRun(r)
 	return []Command{a.releaseCommand(now, 0)}
 }
@@ -128,7 +128,7 @@
 // refuse commits "not run" without a claim.
 func (a *Action) refuse(now time.Duration, r Refusal) []Command {
 	a.phase = refusing
-	a.wait(now)
+	a.wait(now, a.cfg.Claim)
 	a.refusal = notRun(r)
 	return []Command{a.refuseCommand(now, 0)}
 }
