agateroute, agatelog: decisions name the best candidates; one dialer for all connections

Cause: explain named only the chosen upstream; the options that find silent connections stood twice. Conclusion: a request's way can be followed with its alternatives.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -53,11 +53,20 @@
 	firstExpected = 5 * time.Millisecond
 )
 
+// rival is an upstream that could take a request, with its cost and the
+// requests in flight there.
+type rival struct {
+	u    *upstream
+	cost float64
+	held float64
+}
+
 // pick is the result of comparing the upstreams of one group.
 type pick struct {
 	best       *upstream
 	cost       float64
 	held       float64 // requests in flight at the best
+	near       [maxBest]rival
 	considered int
 	busy       int // at their limit
 	away       int // kept away by drains
@@ -175,6 +184,7 @@
 		Region:     g.region,
 		Reason:     why,
 		Considered: p.considered,
+		Best:       p.candidates(g),
 		Expected:   expected,
 	}, true
 }
--- a/core/agateroute/request.go
+++ b/core/agateroute/request.go
@@ -70,6 +70,15 @@
 	ReasonUnexpected Reason = "unexpected" // the answer needs no second attempt, or it is too early to hedge
 )
 
+// maxBest is the number of candidates that a Decision names.
+const maxBest = 3
+
+// Candidate is an upstream that could have taken a request.
+type Candidate struct {
+	ID       UpstreamID
+	Expected time.Duration
+}
+
 // Decision is the answer to a Request.
 type Decision struct {
 	Verdict  Verdict
@@ -77,8 +86,11 @@
 	Address  netip.AddrPort
 	Region   string
 	Reason   Reason
-	// Considered is the number of upstreams that were compared.
+	// Considered is the number of upstreams that were compared, and Best the
+	// best of those that could have taken the request, the chosen one first.
+	// Unused places have an empty ID.
 	Considered int
+	Best       [maxBest]Candidate
 	// Expected is the expected time to the answer, without the wait in the
 	// queue for a Send and with it for a Wait.
 	Expected time.Duration
--- a/core/agateroute/weigh.go
+++ b/core/agateroute/weigh.go
@@ -38,9 +38,34 @@
 		p.busy++
 		return
 	}
-	if c := u.cost(n, v); c < p.cost {
+	c := u.cost(n, v)
+	if c < p.cost {
 		p.best, p.cost, p.held = u, c, n
 	}
+	p.rank(rival{u: u, cost: c, held: n})
+}
+
+// rank keeps the rivals with the lowest costs in order.
+func (p *pick) rank(r rival) {
+	for i := range p.near {
+		if p.near[i].u == nil || r.cost < p.near[i].cost {
+			p.near[i], r = r, p.near[i]
+		}
+		if r.u == nil {
+			return
+		}
+	}
+}
+
+// candidates names the rivals for the log.
+func (p *pick) candidates(g *group) [maxBest]Candidate {
+	var out [maxBest]Candidate
+	for i, r := range p.near {
+		if r.u != nil {
+			out[i] = Candidate{ID: r.u.id, Expected: g.expected(r.u, r.held)}
+		}
+	}
+	return out
 }
 
 // barred reports whether an upstream must not get this request now.
--- a/io/agateentry/action.go
+++ b/io/agateentry/action.go
@@ -176,9 +176,9 @@
 }
 
 func (a *actor) logClaim(k agateaction.Kind, res agatestate.Result, outcome agateclient.Outcome, took time.Duration) {
-	reason := "unreachable"
+	reason, committed := "unreachable", agatelog.Unconfirmed
 	if outcome == agateclient.Applied {
-		reason = res.Verdict.String()
+		reason, committed = res.Verdict.String(), agatelog.Committed
 	}
 	a.e.cfg.Log.Record(&agatelog.Decision{
 		Request: a.cl.id,
@@ -187,6 +187,7 @@
 		Action:  true,
 		Choice:  k.String(),
 		Reason:  reason,
+		Outcome: committed,
 		Took:    took,
 	})
 }
--- a/io/agateentry/admin.go
+++ b/io/agateentry/admin.go
@@ -142,23 +142,33 @@
 	return out
 }
 
+// candidates are the upstreams that were compared last, the chosen one first.
+func candidates(d *agateroute.Decision) []agatelog.Candidate {
+	out := make([]agatelog.Candidate, 0, len(d.Best))
+	for _, c := range d.Best {
+		if c.ID != "" {
+			out = append(out, agatelog.Candidate{Name: string(c.ID), Cost: c.Expected})
+		}
+	}
+	return out
+}
+
 // logDecision records a decision of the table.
 func (e *Entry) logDecision(cl *call, kind agatelog.Kind, d agateroute.Decision) {
 	e.metrics.decided(cl.service, kind, d)
 	line := agatelog.Decision{
-		Request: cl.id,
-		Service: cl.service,
-		Kind:    kind,
-		Action:  cl.class == agateinventory.Action,
-		Choice:  string(d.Upstream),
-		Reason:  string(d.Reason),
-		Outcome: agatelog.Sent,
-		Took:    time.Since(cl.arrived),
-		// The table names the one that it chose and the number of the others.
+		Request:  cl.id,
+		Service:  cl.service,
+		Kind:     kind,
+		Action:   cl.class == agateinventory.Action,
+		Choice:   string(d.Upstream),
+		Reason:   string(d.Reason),
+		Outcome:  agatelog.Sent,
+		Took:     time.Since(cl.arrived),
 		Compared: d.Considered,
 	}
 	if d.Upstream != "" {
-		line.Considered = []agatelog.Candidate{{Name: string(d.Upstream), Cost: d.Expected}}
+		line.Considered = candidates(&d)
 	}
 	if d.Verdict != agateroute.Send {
 		line.Outcome = agatelog.Refused
--- a/io/agatelog/decision.go
+++ b/io/agatelog/decision.go
@@ -51,6 +51,10 @@
 	Refused Outcome = "refused" // the request was refused
 	NotRun  Outcome = "not-run" // the caller was told that nothing ran
 	Unknown Outcome = "unknown" // the caller was told that it may have run
+	// Committed and Unconfirmed are the outcomes of commands to the control
+	// group.
+	Committed   Outcome = "committed"
+	Unconfirmed Outcome = "unconfirmed"
 )
 
 // Candidate is something that could have been chosen.
--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -10,13 +10,6 @@
 	"time"
 )
 
-// Settings of the TCP keep-alive. A silent peer is noticed after 4 s at most.
-const (
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 3
-)
-
 // readBuffer is the size of each connection's read buffer in bytes.
 const readBuffer = 4 << 10
 
@@ -45,19 +38,6 @@
 	closed atomic.Bool
 }
 
-func newDialer(userTimeout, timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-		Control: userTimeoutControl(userTimeout),
-	}
-}
-
 func dial(ctx context.Context, d *net.Dialer, addr netip.AddrPort) (*conn, error) {
 	begin := time.Now()
 	nc, err := d.DialContext(ctx, "tcp", addr.String())
--- a/io/agateupstream/pool.go
+++ b/io/agateupstream/pool.go
@@ -30,6 +30,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"agategate/internal/agatesocket"
 )
 
 // Defaults of a Config.
@@ -99,7 +101,7 @@
 	cfg.setDefaults()
 	p := &Pool{
 		cfg:       cfg,
-		dialer:    newDialer(cfg.UserTimeout, cfg.DialTimeout),
+		dialer:    agatesocket.Dialer(agatesocket.Config{Connect: cfg.DialTimeout, Unconfirmed: cfg.UserTimeout}),
 		stop:      make(chan struct{}),
 		upstreams: map[string]*upstream{},
 	}
