--- a/test/system_test.go
+++ b/test/system_test.go
@@ -34,9 +34,11 @@
 	upstreams map[string]*agatedemo.Upstream
 	relays    map[string]*relay
 	load      *load
-	last      answer
-	answers   map[string]answer
-	pending   map[string]chan answer
+	// operatorFiles name the operator's certificate in the environment.
+	operatorFiles []string
+	last          answer
+	answers       map[string]answer
+	pending       map[string]chan answer
 }
 
 // host is where a process runs.
@@ -192,6 +194,13 @@
 `, h.name, h.region, h.domain, h.caller, h.peer, h.admin, quoted(replicas))
 }
 
+// encrypted replaces plain text in settings by a host's certificate.
+func encrypted(settings, dir, name string) string {
+	files := fmt.Sprintf("cert = %q\nkey = %q\nca = %q\n",
+		filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"), filepath.Join(dir, "ca.pem"))
+	return strings.Replace(settings, "insecure = true\n", files, 1)
+}
+
 // inventory is the document that scripts apply.
 func (s *system) inventory() *agateinventory.Inventory {
 	inv := &agateinventory.Inventory{Target: agateinventory.DefaultTarget, Eject: agateinventory.DefaultEject}
@@ -289,6 +298,7 @@
 	cmd := exec.CommandContext(ctx, s.command(ts), args...)
 	cmd.Dir = s.dir
 	cmd.Env = append(os.Environ(), "AGATEGATE_CONTROL="+s.admins())
+	cmd.Env = append(cmd.Env, s.operatorFiles...)
 	cmd.Stdout = &out
 	cmd.Stderr = &out
 	err := cmd.Run()
--- a/test/verb_test.go
+++ b/test/verb_test.go
@@ -77,17 +77,26 @@
 }
 
 // doSystem starts CONTROLS control replicas and ENTRIES entry hosts, and waits
-// until a leader answers.
+// until a leader answers. With "tls", own processes and operators encrypt.
 func doSystem(ts *testscript.TestScript, _ bool, args []string) {
-	need(ts, args, 2, "system CONTROLS ENTRIES")
+	need(ts, args, 2, "system CONTROLS ENTRIES [tls]")
 	s := of(ts)
 	ts.Check(s.lay(number(ts, args[0]), number(ts, args[1])))
+	if len(args) > 2 && args[2] == "tls" {
+		ts.Check(s.secure())
+		s.operatorFiles = []string{
+			"AGATEGATE_CA=" + filepath.Join(s.dir, "ca.pem"),
+			"AGATEGATE_CERT=" + filepath.Join(s.dir, "operator.pem"),
+			"AGATEGATE_KEY=" + filepath.Join(s.dir, "operator.key"),
+		}
+	}
 	for _, h := range s.controls {
 		s.start(ts, h.name)
 	}
 	for _, h := range s.entries {
 		s.start(ts, h.name)
 	}
+	ts.Setenv("CONTROL1", s.controls[0].admin.String())
 	until(ts, startTime, func() error { _, err := s.status(ts); return err })
 }
 
