agateroute, agateentry: retries of silent connections come in time

Two reasons, found in the decision log: the time after which a connection counts as silent was four times a 95th percentile that a slow start had raised to 245 ms, and a retry waited for its whole time behind peers' requests at the only other upstream, which was cold. Ruled out: no limit while the usual time is not known (the read then waits for its deadline), and half of the time left (an upstream with a queue was taken for silent).

--- a/core/agateroute/weigh.go
+++ b/core/agateroute/weigh.go
@@ -34,7 +34,7 @@
 		return
 	}
 	n := v.inFlight(u)
-	if !u.room(n, v) {
+	if !u.room(n, v) && !u.lastResort(r) {
 		p.busy++
 		return
 	}
@@ -45,6 +45,13 @@
 	p.rank(rival{u: u, cost: c, held: n})
 }
 
+// lastResort reports whether a second attempt may go to a cold upstream that
+// has no request of this host, although peers' requests fill its ramp. Their
+// counts are old, and while peers keep using it a retry would wait in vain.
+func (u *upstream) lastResort(r *Request) bool {
+	return len(r.Tried) > 0 && u.own == 0 && !u.ramp.warm
+}
+
 // rank keeps the rivals with the lowest costs in order.
 func (p *pick) rank(r rival) {
 	for i := range p.near {
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -324,8 +324,7 @@
 	if r == nil {
 		return agatestate.Result{}, &agatereplica.NotLeaderError{}
 	}
-	cmd.Now = c.time.now(r.Status().Term, c.machine.Now()).UnixMilli()
-	out, err := r.Propose(ctx, agatestate.Encode(cmd))
+	out, err := r.Propose(ctx, c.stamped(r, cmd))
 	c.metrics.proposed(err)
 	if err != nil {
 		return agatestate.Result{}, err
@@ -333,6 +332,13 @@
 	return agatestate.DecodeResult(out)
 }
 
+// stamped encodes a command with state time, so that only the leader's clock
+// moves it.
+func (c *Control) stamped(r *agatereplica.Replica, cmd agatestate.Command) []byte {
+	cmd.Now = c.time.now(r.Status().Term, c.machine.Now()).UnixMilli()
+	return agatestate.Encode(cmd)
+}
+
 // send hands a quorum message to the transport.
 func (c *Control) send(to uint64, m agatequorum.Message) {
 	addr := c.addressOf(to)
--- a/io/agatecontrol/service.go
+++ b/io/agatecontrol/service.go
@@ -178,10 +178,9 @@
 		reply.Leader = agateclient.LeaderUnknown
 		return reply, nil
 	}
-	cmd.Now = c.time.now(r.Status().Term, c.machine.Now()).UnixMilli()
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	reply.Result, err = r.Propose(ctx, agatestate.Encode(cmd))
+	reply.Result, err = r.Propose(ctx, c.stamped(r, cmd))
 	s.c.metrics.proposed(err)
 	c.fillError(reply, err)
 	return reply, nil
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -149,6 +149,7 @@
 	e.router = newRouter(agateroute.New(agateroute.Config{
 		Host:     cfg.Settings.Name,
 		Region:   cfg.Settings.Region,
+		Domain:   cfg.Settings.Domain,
 		Queue:    cfg.Settings.Limit.Queue,
 		Overflow: e.shift.take,
 	}), e.routeEvent)
@@ -275,12 +276,7 @@
 }
 
 // Kill ends the process's work at once, as a crash would. Tests use it.
-func (e *Entry) Kill() {
-	if e.caller != nil {
-		_ = e.caller.Close()
-	}
-	e.abort()
-}
+func (e *Entry) Kill() { e.abort() }
 
 func (e *Entry) abort() {
 	e.cancel()
--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -115,11 +115,10 @@
 // hedgeAfter is the time after which a read gets a second attempt, or the
 // whole deadline while it is not known.
 func (e *Entry) hedgeAfter(cl *call) time.Duration {
-	after := time.Duration(e.hedges.load(cl.service))
-	if after <= 0 {
-		return time.Until(cl.deadline)
+	if after := e.hedges.load(cl.service); after > 0 {
+		return after
 	}
-	return after
+	return time.Until(cl.deadline)
 }
 
 // attempt sends a call to the chosen upstream and tells the table how it
@@ -149,15 +148,17 @@
 	return a
 }
 
-// probeTime is how long a connection may stay silent during a read. There is
-// no limit while the usual answer time is not known: an upstream with a queue
-// would be taken for a silent connection.
+// probeTime is how long a connection may stay silent during a read: some times
+// the usual answer time, since an upstream with a queue must not be taken for a
+// silent connection, but at most half of the caller's whole time, so that a
+// second attempt comes in time also while the usual time is not known or was
+// measured during a slow start.
 func (e *Entry) probeTime(cl *call) time.Duration {
-	usual := e.hedges.load(cl.service)
-	if usual <= 0 {
-		return 0
+	limit := cl.deadline.Sub(cl.arrived) / 2
+	if usual := e.hedges.load(cl.service); usual > 0 {
+		limit = min(limit, probeFactor*usual)
 	}
-	return max(probeLeast, probeFactor*usual)
+	return max(probeLeast, limit)
 }
 
 // observation translates the end of an attempt for the table.
