--- a/core/agatelookup/index_test.go
+++ b/core/agatelookup/index_test.go
@@ -123,9 +123,9 @@
 }
 
 // targetConfig is the target size: 4,700 hosts in 93 domains and 44 regions.
-func targetConfig() Config {
+func targetConfig(hosts int) Config {
 	cfg := Config{Now: start, Index: NewIndex(makeBlocks(sizes[2]))}
-	for i := range 4700 {
+	for i := range hosts {
 		d := i % 93
 		cfg.Hosts = append(cfg.Hosts, Host{
 			Name: fmt.Sprint("host-", i), Region: fmt.Sprint("region-", d%44), Domain: fmt.Sprint("domain-", d),
@@ -135,18 +135,29 @@
 	return cfg
 }
 
+// hostSizes are the numbers of entry hosts, the last one that of the target.
+var hostSizes = []int{47, 470, 4700}
+
 func BenchmarkChoose(b *testing.B) {
-	v := NewView(targetConfig())
-	rng := rand.New(rand.NewPCG(3, 3))
-	for b.Loop() {
-		v4 := rng.Uint32()
-		Choose(Query{netip.AddrFrom4([4]byte{byte(v4 >> 24), byte(v4 >> 16), byte(v4 >> 8), byte(v4)})}, v)
+	for _, hosts := range hostSizes {
+		v := NewView(targetConfig(hosts))
+		rng := rand.New(rand.NewPCG(3, 3))
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			for b.Loop() {
+				v4 := rng.Uint32()
+				Choose(Query{netip.AddrFrom4([4]byte{byte(v4 >> 24), byte(v4 >> 16), byte(v4 >> 8), byte(v4)})}, v)
+			}
+		})
 	}
 }
 
 func BenchmarkNewView(b *testing.B) {
-	cfg := targetConfig()
-	for b.Loop() {
-		NewView(cfg)
+	for _, hosts := range hostSizes {
+		cfg := targetConfig(hosts)
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			for b.Loop() {
+				NewView(cfg)
+			}
+		})
 	}
 }
--- a/core/agatestate/fuzz_test.go
+++ b/core/agatestate/fuzz_test.go
@@ -308,20 +308,24 @@
 
 // BenchmarkSnapshot measures a full set of action records.
 func BenchmarkSnapshot(b *testing.B) {
+	for _, records := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(records), func(b *testing.B) { benchmarkSnapshot(b, records) })
+	}
+}
+
+func benchmarkSnapshot(b *testing.B, records int) {
 	m := agatestate.New(agatestate.Config{})
-	const records = 100_000
-	for i := uint64(1); i <= records; i++ {
+	for i := uint64(1); i <= uint64(records); i++ {
 		m.Apply(i, agatestate.Encode(command("claim", args{"key": fmt.Sprintf("%036d", i), "token": "A"}, i)))
 	}
 	assert.Equal(b, m.Counts().Claimed, records)
 	for b.Loop() {
 		s, err := m.Snapshot()
 		assert.NilError(b, err)
-		b.ReportMetric(float64(len(s))/records, "bytes/record")
+		b.ReportMetric(float64(len(s))/float64(records), "bytes/record")
 	}
 }
 
-// BenchmarkApply measures one claim and its answer.
 func BenchmarkApply(b *testing.B) {
 	m := agatestate.New(agatestate.Config{})
 	index := uint64(0)
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -166,7 +166,7 @@
 // listen opens the gRPC listener, on which a fresh replica tells others that
 // it belongs to no group.
 func (c *Control) listen() error {
-	ln, err := net.Listen("tcp", c.cfg.Settings.Peer.String())
+	ln, err := agatelink.Listen(c.cfg.Settings.Peer)
 	if err != nil {
 		return fmt.Errorf("agatecontrol: %w", err)
 	}
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -185,7 +185,7 @@
 
 // listen opens the listeners for own processes, callers and operators.
 func (e *Entry) listen() error {
-	ln, err := net.Listen("tcp", e.cfg.Settings.Peer.String())
+	ln, err := agatelink.Listen(e.cfg.Settings.Peer)
 	if err != nil {
 		return fmt.Errorf("agateentry: %w", err)
 	}
--- a/io/agatelink/link.go
+++ b/io/agatelink/link.go
@@ -26,6 +26,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
@@ -156,6 +157,19 @@
 	clear(d.conns)
 }
 
+// maxConns bounds the connections to one listener for own processes.
+const maxConns = 4096
+
+// Listen listens for own processes. Connections beyond 4,096 wait until
+// another one closes.
+func Listen(addr netip.AddrPort) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("agatelink: %w", err)
+	}
+	return netutil.LimitListener(ln, maxConns), nil
+}
+
 // NewServer returns a gRPC server with bounds on messages, streams and
 // handshakes. A nil tlsConfig means plain text.
 func NewServer(tlsConfig *tls.Config) *grpc.Server {
