--- a/core/agateroute/tick.go
+++ b/core/agateroute/tick.go
@@ -56,8 +56,10 @@
 			}
 			silent := now.Sub(u.heard)
 			// A lease that ended more than one lease time ago is another fault,
-			// unless this one has lasted since then.
-			if silent > lease && (s.fault || silent <= 2*lease) {
+			// unless this one has lasted since then. Announcements that stop
+			// together are spread over an interval: counting the last one
+			// before its lease ends keeps the first leases from ending alone.
+			if silent > lease-t.cfg.Interval && (s.fault || silent <= 2*lease) {
 				ended++
 			}
 			if silent <= 2*lease || s.fault {
