--- a/core/agateaction/fuzz_test.go
+++ b/core/agateaction/fuzz_test.go
@@ -38,6 +38,7 @@
 		}
 	}
 	if len(some) == 0 {
+		// rapid draws another step; no check is left out.
 		t.Skip("nothing to do")
 	}
 	return some[rapid.IntRange(0, len(some)-1).Draw(t, "pick")]
--- a/core/agatequorum/fuzz_test.go
+++ b/core/agatequorum/fuzz_test.go
@@ -33,6 +33,8 @@
 	s.group(replicas)
 	s.advance(time.Second)
 	next := replicas + 1
+	// Skip in a step means that the step does not apply to the state: rapid
+	// draws another one, and the checks run after every step all the same.
 	pick := func(t *rapid.T) *simNode { return s.nodes[rapid.SampledFrom(s.ids).Draw(t, "replica")] }
 	running := func(t *rapid.T) *simNode {
 		n := pick(t)
