--- a/core/agatestate/codec.go
+++ b/core/agatestate/codec.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -48,6 +49,8 @@
 		Probe     *wireProbe     `cbor:"9,keyasint,omitempty"`
 		Settle    *wireSettle    `cbor:"10,keyasint,omitempty"`
 		Limits    *wireLimits    `cbor:"11,keyasint,omitempty"`
+		Announce  *wireAnnounce  `cbor:"12,keyasint,omitempty"`
+		Evacuate  *wireEvacuate  `cbor:"13,keyasint,omitempty"`
 	}
 	wireConfigure struct {
 		Change   string `cbor:"1,keyasint"`
@@ -120,6 +123,25 @@
 		Bytes     int           `cbor:"3,keyasint"`
 		Answer    int           `cbor:"4,keyasint"`
 	}
+	wireAnnounce struct {
+		Upstreams []wireUpstream `cbor:"1,keyasint"`
+	}
+	wireUpstream struct {
+		ID       string         `cbor:"1,keyasint"`
+		Service  string         `cbor:"2,keyasint,omitempty"`
+		Address  netip.AddrPort `cbor:"3,keyasint"`
+		Domain   string         `cbor:"4,keyasint,omitempty"`
+		Slots    int            `cbor:"5,keyasint,omitempty"`
+		Born     int64          `cbor:"6,keyasint,omitempty"`
+		Sequence uint64         `cbor:"7,keyasint,omitempty"`
+		Draining bool           `cbor:"8,keyasint,omitempty"`
+		Gone     bool           `cbor:"9,keyasint,omitempty"`
+		Cold     time.Duration  `cbor:"10,keyasint,omitempty"`
+	}
+	wireEvacuate struct {
+		Domain string `cbor:"1,keyasint"`
+		On     bool   `cbor:"2,keyasint,omitempty"`
+	}
 	wireResult struct {
 		Verdict    Verdict       `cbor:"1,keyasint"`
 		Index      uint64        `cbor:"2,keyasint,omitempty"`
@@ -146,10 +168,17 @@
 		Probe:     (*wireProbe)(c.Probe),
 		Settle:    (*wireSettle)(c.Settle),
 		Limits:    (*wireLimits)(c.Limits),
+		Evacuate:  (*wireEvacuate)(c.Evacuate),
 	}
 	if f := c.Finish; f != nil {
 		w.Finish = &wireFinish{Service: f.Service, Key: f.Key, Token: f.Token, Answer: *toWire(&f.Answer)}
 	}
+	if a := c.Announce; a != nil {
+		w.Announce = &wireAnnounce{}
+		for _, u := range a.Upstreams {
+			w.Announce.Upstreams = append(w.Announce.Upstreams, wireUpstream(u))
+		}
+	}
 	return marshal(w)
 }
 
@@ -170,10 +199,17 @@
 		Probe:     (*Probe)(w.Probe),
 		Settle:    (*Settle)(w.Settle),
 		Limits:    (*Limits)(w.Limits),
+		Evacuate:  (*Evacuate)(w.Evacuate),
 	}
 	if f := w.Finish; f != nil {
 		c.Finish = &Finish{Service: f.Service, Key: f.Key, Token: f.Token, Answer: *fromWire(&f.Answer)}
 	}
+	if a := w.Announce; a != nil {
+		c.Announce = &Announce{}
+		for _, u := range a.Upstreams {
+			c.Announce.Upstreams = append(c.Announce.Upstreams, Upstream(u))
+		}
+	}
 	if !c.valid() {
 		return Command{}, fmt.Errorf("%w: not exactly one command within the limits", ErrMalformed)
 	}
@@ -214,6 +250,8 @@
 	count(c.Probe != nil, c.Probe.valid)
 	count(c.Settle != nil, c.Settle.valid)
 	count(c.Limits != nil, c.Limits.valid)
+	count(c.Announce != nil, c.Announce.valid)
+	count(c.Evacuate != nil, c.Evacuate.valid)
 	return sets == 1 && good == 1
 }
 
--- a/core/agatestate/command.go
+++ b/core/agatestate/command.go
@@ -40,6 +40,8 @@
 	Probe     *Probe
 	Settle    *Settle
 	Limits    *Limits
+	Announce  *Announce
+	Evacuate  *Evacuate
 }
 
 // Configure replaces the configuration document if Base is the revision in
--- a/core/agatestate/config.go
+++ b/core/agatestate/config.go
@@ -99,3 +99,12 @@
 		delete(r.changes, c.id)
 	}
 }
+
+// Accepted reports whether the change with this id was accepted, as far as
+// change ids are remembered.
+func (m *Machine) Accepted(change string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	c := m.register.changes[change]
+	return c != nil && c.answer.Verdict == Accepted
+}
--- a/core/agatestate/machine.go
+++ b/core/agatestate/machine.go
@@ -1,6 +1,7 @@
 // Package agatestate is the replicated state machine of the control group:
 // the configuration register with its change ids, the records of actions,
-// and the fingerprints of requests that may crash upstreams.
+// the fingerprints of requests that may crash upstreams, and the fleet of
+// upstreams with the failure domains that are evacuated.
 //
 // Every replica applies the same commands in the order of the log and
 // reaches the same state. The machine has no clock: each command carries
@@ -112,7 +113,8 @@
 }
 
 // Machine is the state of one replica. One goroutine calls Apply, Snapshot
-// and Restore; Index, Now, Config, Action, SuspectsSince and Counts are safe
+// and Restore; Index, Now, Config, Action, SuspectsSince, Fleet, FleetIndex,
+// Upstream and Counts are safe
 // for concurrent use.
 type Machine struct {
 	cfg Config
@@ -123,6 +125,7 @@
 	register register
 	actions  actions
 	suspects suspects
+	fleet    fleet
 }
 
 // New returns an empty machine.
@@ -138,6 +141,7 @@
 	m.register = newRegister()
 	m.actions = newActions()
 	m.suspects = newSuspects()
+	m.fleet = newFleet()
 }
 
 // Apply applies the command at a log index and returns its encoded Result.
@@ -184,6 +188,10 @@
 		return m.probe(c.Probe)
 	case c.Settle != nil:
 		return m.settle(c.Settle)
+	case c.Announce != nil:
+		return m.announce(c.Announce)
+	case c.Evacuate != nil:
+		return m.evacuate(c.Evacuate)
 	default:
 		m.setLimits(*c.Limits)
 		return Result{Verdict: Accepted}
--- a/core/agatestate/snapshot.go
+++ b/core/agatestate/snapshot.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,7 +19,7 @@
 var ErrSnapshot = errors.New("agatestate: bad snapshot")
 
 // A snapshot is the magic, the version, a sequence of CBOR items (head,
-// changes, records, cleared and live suspects) and the xxHash64 of all that.
+// changes, records, cleared and live suspects, upstreams) and the xxHash64 of all that.
 const (
 	snapshotMagic   = "AGST"
 	snapshotVersion = 1
@@ -40,6 +41,18 @@
 		Cleared   int        `cbor:"10,keyasint"`
 		Live      int        `cbor:"11,keyasint"`
 		Limits    wireLimits `cbor:"12,keyasint"`
+		Fleet     snapFleet  `cbor:"13,keyasint"`
+	}
+	snapFleet struct {
+		Rows      int      `cbor:"1,keyasint"`
+		Index     uint64   `cbor:"2,keyasint"`
+		Dropped   uint64   `cbor:"3,keyasint"`
+		Evacuated []string `cbor:"4,keyasint"`
+	}
+	snapRow struct {
+		Upstream wireUpstream `cbor:"1,keyasint"`
+		Index    uint64       `cbor:"2,keyasint"`
+		At       int64        `cbor:"3,keyasint"`
 	}
 	snapConfig struct {
 		Revision uint64 `cbor:"1,keyasint"`
@@ -124,9 +137,21 @@
 			}
 		}
 	}
+	for _, row := range m.fleet.sorted() {
+		if err := enc.Encode(snapRow{wireUpstream(row.up), row.index, row.at}); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// sorted returns the rows by identity.
+func (f *fleet) sorted() []*fleetRow {
+	rows := slices.Collect(maps.Values(f.rows))
+	slices.SortFunc(rows, func(x, y *fleetRow) int { return cmp.Compare(x.up.ID, y.up.ID) })
+	return rows
+}
+
 func (m *Machine) head() snapHead {
 	cur := &m.register.current
 	h := snapHead{
@@ -141,6 +166,7 @@
 		Cleared:   m.suspects.cleared.Len(),
 		Live:      m.suspects.live.Len(),
 		Limits:    wireLimits(m.limits()),
+		Fleet:     snapFleet{len(m.fleet.rows), m.fleet.index, m.fleet.dropped, m.fleet.evacuated},
 	}
 	if cur.Revision > 0 {
 		h.Config = snapConfig{cur.Revision, cur.Document, cur.Change, cur.Operator, cur.At.UnixMilli()}
@@ -194,6 +220,7 @@
 	m.register = n.register
 	m.actions = n.actions
 	m.suspects = n.suspects
+	m.fleet = n.fleet
 	m.setLimits(n.limits())
 	return nil
 }
@@ -236,6 +263,9 @@
 	if err := each(h.Cleared+h.Live, &items, m.restoreSuspect); err != nil {
 		return err
 	}
+	if err := each(h.Fleet.Rows, &items, m.restoreRow); err != nil {
+		return err
+	}
 	if len(items) > 0 {
 		return fmt.Errorf("%d bytes too many", len(items))
 	}
@@ -266,6 +296,18 @@
 	m.suspects.newest = h.Newest
 	m.suspects.dropped = h.Dropped
 	m.setLimits(Limits(h.Limits))
+	m.fleet.index = h.Fleet.Index
+	m.fleet.dropped = h.Fleet.Dropped
+	m.fleet.evacuated = h.Fleet.Evacuated
+}
+
+func (m *Machine) restoreRow(w snapRow) error {
+	row := &fleetRow{Upstream(w.Upstream), w.Index, w.At}
+	m.fleet.rows[row.up.ID] = row
+	if !row.up.Gone {
+		m.fleet.addresses[row.up.Address] = row
+	}
+	return nil
 }
 
 func (m *Machine) addChange(w snapChange) error {
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -67,6 +67,12 @@
 	// Dial opens connections to other processes. The default sets socket
 	// options that find silent connections early.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// Seeds returns the replicas to ask for the group; it may change while the
+	// process runs. The default is Settings.Members.
+	Seeds func() []agatesettings.Member
+	// Heal lets the group admit replicas, remove dead ones and take back
+	// removed ones without an operator.
+	Heal bool
 }
 
 // Control is one running control process. It is safe for concurrent use.
@@ -83,6 +89,9 @@
 	sender   *agatelink.Sender
 	server   *grpc.Server
 	sessions *sessions
+	presence presence
+	changed  signal
+	heardAt  memberTimes
 	time     stateTime
 	accepted acceptedTimes
 	granter  granter
@@ -131,6 +140,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("agatecontrol: %w", err)
 	}
+	if cfg.Seeds == nil {
+		c.cfg.Seeds = func() []agatesettings.Member { return cfg.Settings.Members }
+	}
 	c.store = store
 	c.id = saved.Identity
 	c.machine = agatestate.New(agatestate.Config{})
@@ -210,7 +222,7 @@
 	c.duties.Go(func() { c.every(expireEvery, c.expire) })
 	c.duties.Go(func() { c.every(repairEvery, c.repair) })
 	c.duties.Go(func() { c.every(sweepEvery, c.sweep) })
-	if saved.Fresh && len(bootstrap) == 0 {
+	if c.cfg.Heal || (saved.Fresh && len(bootstrap) == 0) {
 		c.duties.Go(func() { c.every(joinEvery, c.join) })
 	}
 }
@@ -239,9 +251,12 @@
 // applyCommand applies a committed command and notes when a revision comes
 // into force here.
 func (c *Control) applyCommand(index uint64, data []byte) []byte {
-	before := c.machine.Config().Revision
+	before, fleet := c.machine.Config().Revision, c.machine.FleetIndex()
 	out := c.machine.Apply(index, data)
 	after := c.machine.Config().Revision
+	if after > before || c.machine.FleetIndex() > fleet {
+		c.changed.wake()
+	}
 	if after > before {
 		c.accepted.note(after)
 		select {
--- a/io/agatecontrol/group.go
+++ b/io/agatecontrol/group.go
@@ -23,6 +23,15 @@
 	// membership.
 	joinEvery   = 500 * time.Millisecond
 	repairEvery = 500 * time.Millisecond
+	// healVoters is the number of voters of a group that heals itself. Five
+	// survive the loss of two.
+	healVoters = 5
+	// deadAfter is how long a voter must be silent before a learner takes its
+	// place. Shorter pauses end by themselves.
+	deadAfter = 4 * time.Second
+	// rejoinAfter is how long a voter knows no leader before it asks whether
+	// it is still a member.
+	rejoinAfter = 3 * time.Second
 )
 
 // findGroup returns the first membership of a new group, or none when the
@@ -53,7 +62,7 @@
 func (c *Control) search() (bootstrap agatequorum.Members, found bool) {
 	members := agatequorum.Members{{ID: c.id, Address: c.cfg.Settings.Peer}}
 	first := true
-	for i, m := range c.cfg.Settings.Members {
+	for i, m := range c.cfg.Seeds() {
 		if m.Address == c.cfg.Settings.Peer {
 			first = i == 0
 			continue
@@ -73,7 +82,7 @@
 	if reply, ok := c.added(); ok {
 		return c.adopt(reply), true
 	}
-	if c.cfg.Settings.Join || !first || len(members) != len(c.cfg.Settings.Members) {
+	if c.cfg.Settings.Join || !first || len(members) != len(c.cfg.Seeds()) {
 		return nil, false
 	}
 	slices.SortFunc(members, func(a, b agatequorum.Member) int { return cmp.Compare(a.ID, b.ID) })
@@ -150,15 +159,21 @@
 	for _, m := range st.Members {
 		reply.Members = append(reply.Members, &agatewire.Replica{Id: m.ID, Address: m.Address.String(), Learner: m.Learner})
 	}
-	reply.Initial = st.Commit <= 1 && len(st.Members) == len(c.cfg.Settings.Members)
+	reply.Initial = st.Commit <= 1 && len(st.Members) == len(c.cfg.Seeds())
 	return reply
 }
 
-// join asks the group to admit this replica until it has a vote.
+// join asks the group to admit this replica while it has no vote, or while it
+// knows no leader, as when it was removed during a long pause.
 func (c *Control) join(ctx context.Context) {
 	r := c.replica.Load()
-	if r.Status().Members.Voter(c.id) {
+	st := r.Status()
+	if st.Members.Voter(c.id) && st.Leader != 0 {
 		c.fresh.Store(false)
+		c.heardAt.followed(time.Now())
+		return
+	}
+	if !c.fresh.Load() && !c.heardAt.lostFor(time.Now(), rejoinAfter) {
 		return
 	}
 	ask := &agatewire.JoinAsk{
@@ -169,24 +184,41 @@
 			Address: c.cfg.Settings.Peer.String(),
 		},
 	}
-	for _, m := range c.cfg.Settings.Members {
-		if m.Address == c.cfg.Settings.Peer {
-			continue
-		}
-		conn, err := c.dialer.Conn(m.Address)
+	for _, addr := range c.replicas() {
+		conn, err := c.dialer.Conn(addr)
 		if err != nil {
 			continue
 		}
 		one, cancel := context.WithTimeout(ctx, searchTime)
 		reply, err := agatewire.NewQuorumClient(conn).Join(one, ask)
 		cancel()
-		c.dialer.Report(m.Address, err)
+		c.dialer.Report(addr, err)
 		if err == nil && reply.Leader == "" {
 			return
 		}
 	}
 }
 
+// replicas returns the addresses of the other replicas that are known: the
+// seeds and the members.
+func (c *Control) replicas() []netip.AddrPort {
+	var out []netip.AddrPort
+	add := func(addr netip.AddrPort) {
+		if addr != c.cfg.Settings.Peer && !slices.Contains(out, addr) {
+			out = append(out, addr)
+		}
+	}
+	for _, m := range c.cfg.Seeds() {
+		add(m.Address)
+	}
+	if r := c.replica.Load(); r != nil {
+		for _, m := range r.Status().Members {
+			add(m.Address)
+		}
+	}
+	return out
+}
+
 // admit adds a replica as a learner. Only the leader can.
 func (c *Control) admit(ctx context.Context, ask *agatewire.JoinAsk) (*agatewire.JoinReply, error) {
 	reply := &agatewire.JoinReply{Sender: c.identity()}
@@ -240,12 +272,40 @@
 		if !m.Learner {
 			continue
 		}
+		if c.cfg.Heal && !c.makeRoom(ctx, r) {
+			continue
+		}
 		if err := r.Promote(ctx, m.ID); err == nil {
 			c.placed("learner promoted", m, "full-copy")
 		}
 	}
 }
 
+// makeRoom reports whether a learner may become a voter without more than
+// healVoters. It removes a voter that has been silent for a long time when a
+// learner waits to take its place. The removal costs no tolerance: a majority
+// of the rest is no larger than one of the whole, and the dead one did not
+// count towards it.
+func (c *Control) makeRoom(ctx context.Context, r *agatereplica.Replica) bool {
+	st := r.Status()
+	if st.Members.Voters() < healVoters {
+		return true
+	}
+	now := time.Now()
+	for _, m := range st.Members {
+		if m.Learner || m.ID == c.id || !c.heardAt.silent(now, st.Term, m.ID, deadAfter) {
+			continue
+		}
+		if err := r.Remove(ctx, m.ID); err != nil {
+			c.log.Warn("silent replica not removed", "kind", "placement", "choice", m.Address, "id", m.ID, "error", err)
+			return false
+		}
+		c.placed("silent replica removed", m, "silent")
+		return true
+	}
+	return false
+}
+
 // replaced reports whether the process at a member's address has another
 // identity now, which is a member too.
 func (c *Control) replaced(members agatequorum.Members, old agatequorum.Member) bool {
--- a/io/agatecontrol/operate.go
+++ b/io/agatecontrol/operate.go
@@ -229,7 +229,7 @@
 }
 
 func (c *Control) nameOf(addr netip.AddrPort) string {
-	for _, m := range c.cfg.Settings.Members {
+	for _, m := range c.cfg.Seeds() {
 		if m.Address == addr {
 			return m.Name
 		}
--- /dev/null
+++ b/io/agatecontrol/watch.go
@@ -0,0 +1,231 @@
+package agatecontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"agategate/core/agateplan"
+	"agategate/core/agatestate"
+	"agategate/io/agatewire"
+)
+
+const (
+	// watchBeat is the interval of a replica's heartbeats on a watch stream.
+	watchBeat = 500 * time.Millisecond
+	// watchGather is how long a change waits for others that go into the same
+	// message.
+	watchGather = 20 * time.Millisecond
+)
+
+// signal wakes everyone who waits for the next change. The zero value is ready.
+// It is safe for concurrent use.
+type signal struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+// wait returns a channel that is closed at the next change.
+func (s *signal) wait() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ch == nil {
+		s.ch = make(chan struct{})
+	}
+	return s.ch
+}
+
+// wake wakes all waiters.
+func (s *signal) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ch != nil {
+		close(s.ch)
+		s.ch = nil
+	}
+}
+
+// Watch serves the stream of one entry host.
+func (s *controlService) Watch(stream grpc.BidiStreamingServer[agatewire.WatchAsk, agatewire.WatchReply]) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.Sender.GetHost() == "" {
+		return invalid("watch without a sender")
+	}
+	w := &watch{c: s.c, stream: stream, asks: make(chan *agatewire.WatchAsk, 1)}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	defer s.c.presence.lost(first.Sender.Host, first.Sender.Epoch)
+	go w.receive(ctx, cancel)
+	return w.run(ctx, first)
+}
+
+// watch is the state of one stream.
+type watch struct {
+	c      *Control
+	stream grpc.BidiStreamingServer[agatewire.WatchAsk, agatewire.WatchReply]
+	asks   chan *agatewire.WatchAsk
+	ask    *agatewire.WatchAsk
+	// fleet and suspects are the log indexes up to which the host knows all.
+	fleet    uint64
+	suspects uint64
+	follow   bool
+}
+
+// receive hands the newest heartbeat of the host to run.
+func (w *watch) receive(ctx context.Context, cancel context.CancelFunc) {
+	defer cancel()
+	for {
+		ask, err := w.stream.Recv()
+		if err != nil {
+			return
+		}
+		select {
+		case w.asks <- ask:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// run answers heartbeats, and sends changes when they come.
+func (w *watch) run(ctx context.Context, first *agatewire.WatchAsk) error {
+	w.take(first)
+	beat := time.NewTicker(watchBeat)
+	defer beat.Stop()
+	for {
+		woken := w.c.changed.wait()
+		if err := w.stream.Send(w.reply()); err != nil {
+			return err
+		}
+		if !w.pause(ctx, beat.C, woken) {
+			return nil
+		}
+	}
+}
+
+// pause waits until a reply is due. It reports false at the end of the stream
+// or of the process.
+func (w *watch) pause(ctx context.Context, beat <-chan time.Time, woken <-chan struct{}) bool {
+	gather := (<-chan time.Time)(nil)
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-w.c.ctx.Done():
+			return false
+		case ask := <-w.asks:
+			w.take(ask)
+			if w.stale() {
+				return true
+			}
+		case <-woken:
+			woken = nil
+			if w.follow {
+				gather = time.After(watchGather)
+			}
+		case <-gather:
+			return true
+		case <-beat:
+			return true
+		}
+	}
+}
+
+// stale reports whether the host lacks something that this replica has.
+func (w *watch) stale() bool {
+	return w.follow && w.c.machine.FleetIndex() > w.fleet
+}
+
+func (w *watch) take(ask *agatewire.WatchAsk) {
+	w.ask = ask
+	w.c.presence.heard(time.Now(), ask)
+	w.follow = ask.Follow
+	w.fleet = max(w.fleet, ask.Fleet)
+	if ask.Fleet == 0 {
+		w.fleet = 0
+	}
+	w.suspects = max(w.suspects, ask.Suspects)
+}
+
+func (w *watch) reply() *agatewire.WatchReply {
+	c := w.c
+	reply := &agatewire.WatchReply{Sender: c.identity(), Fleet: c.machine.FleetIndex()}
+	if r := c.replica.Load(); r != nil {
+		st := r.Status()
+		reply.Synced = st.Leader != 0
+		for _, m := range st.Members {
+			reply.Replicas = append(reply.Replicas, m.Address.String())
+		}
+	}
+	for _, h := range c.presence.live(time.Now()) {
+		reply.Hosts = append(reply.Hosts, h.name)
+	}
+	if !w.follow {
+		return reply
+	}
+	if reply.Fleet > w.fleet {
+		w.fill(reply)
+	}
+	delta := c.machine.SuspectsSince(w.suspects)
+	for _, s := range delta.Suspects {
+		reply.Suspects = append(reply.Suspects, &agatewire.Suspect{Print: s.Print[:], Deaths: uint32(s.Deaths), Index: s.Index})
+	}
+	reply.Index = delta.Index
+	reply.Full = delta.Full
+	w.suspects = max(w.suspects, delta.Index)
+	return reply
+}
+
+// fill adds what changed in the fleet.
+func (w *watch) fill(reply *agatewire.WatchReply) {
+	d := w.c.machine.Fleet(w.fleet)
+	reply.Delta = true
+	reply.Fleet = d.Index
+	reply.Whole = d.Whole
+	reply.Evacuated = d.Evacuated
+	for i := range d.Upstreams {
+		reply.Upstreams = append(reply.Upstreams, wireRow(&d.Upstreams[i]))
+	}
+	w.fleet = d.Index
+}
+
+func wireRow(u *agatestate.Upstream) *agatewire.UpstreamRow {
+	row := &agatewire.UpstreamRow{
+		Id:       u.ID,
+		Service:  u.Service,
+		Domain:   u.Domain,
+		Slots:    int32(min(u.Slots, 1<<20)),
+		Draining: u.Draining,
+		Gone:     u.Gone,
+		Cold:     u.Cold.Milliseconds(),
+		Born:     u.Born,
+	}
+	if u.Address.IsValid() {
+		row.Address = u.Address.String()
+	}
+	return row
+}
+
+// Plan returns the plan that this replica knows to be accepted.
+func (s *controlService) Plan(context.Context, *agatewire.PlanAsk) (*agatewire.PlanReply, error) {
+	cur := s.c.machine.Config()
+	reply := &agatewire.PlanReply{Sender: s.c.identity(), Revision: cur.Revision}
+	if cur.Revision == 0 {
+		return reply, nil
+	}
+	doc, err := agateplan.DecodeDocument(cur.Document)
+	if err != nil {
+		return nil, unavailable("plan: %v", err)
+	}
+	doc.Source = nil // hosts need the plan only, and bytes between regions count
+	reply.Plan, err = doc.Encode()
+	if err != nil {
+		return nil, unavailable("plan: %v", err)
+	}
+	return reply, nil
+}
--- a/io/agateupstream/call.go
+++ b/io/agateupstream/call.go
@@ -23,7 +23,9 @@
 	// Path starts with "/" and includes the query.
 	Path   string
 	Header http.Header
-	Body   []byte
+	// Host is the Host header; the default is the address.
+	Host string
+	Body []byte
 	// Action restricts the call to connections that were alive within the
 	// last second, or new ones.
 	Action bool
--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -30,6 +30,8 @@
 	// until bounds the wait for bytes; probe bounds silence, if positive.
 	until time.Time
 	probe time.Duration
+	// keep is how long the peer said that it keeps an idle connection, or 0.
+	keep time.Duration
 	// budget is the number of bytes that may still be read.
 	budget int64
 	// ended is set once the peer, not this process, ended the connection.
@@ -89,6 +91,15 @@
 	return socketQuiet(c.tcp)
 }
 
+// keepMargin is how long before its stated end an idle connection is not used
+// any more, so that a request does not cross the peer's close.
+const keepMargin = time.Second
+
+// expired reports whether the peer may be about to close an idle connection.
+func (c *conn) expired() bool {
+	return c.keep > 0 && time.Since(c.life) > max(0, c.keep-keepMargin)
+}
+
 func (c *conn) close() {
 	c.closed.Store(true)
 	_ = c.tcp.Close() // nothing depends on a clean end
--- a/io/agateupstream/exchange.go
+++ b/io/agateupstream/exchange.go
@@ -74,7 +74,7 @@
 		x.reusable = true
 		return Reply{Kind: TimedOut, Err: context.DeadlineExceeded}, true
 	}
-	head := encodeHead(x.call, x.header, left)
+	head := encodeHead(x.call, x.header, x.limits.DeadlineHeader, left)
 	if x.call.BeforeWrite != nil && !x.call.BeforeWrite() {
 		x.reusable = true
 		return Reply{Kind: NotWritten, Err: ErrWithdrawn}, true
@@ -132,8 +132,8 @@
 
 // own checks that an answer that names a request names this one.
 func (x *exchange) own(resp *http.Response) error {
-	sent := x.header.Get(headerRequest)
-	got := resp.Header.Get(headerRequest)
+	sent := x.header.Get(x.limits.RequestHeader)
+	got := resp.Header.Get(x.limits.RequestHeader)
 	if sent != "" && got != "" && sent != got {
 		return fmt.Errorf("agateupstream: answer to request %q instead of %q", got, sent)
 	}
@@ -145,7 +145,8 @@
 	x.inBody = true
 	x.conn.budget = math.MaxInt64
 	limit := x.limits.BodyLimit
-	if resp.Body != http.NoBody && resp.ContentLength < 0 && !chunked(resp) {
+	unframed := resp.Body != http.NoBody && resp.ContentLength < 0 && !chunked(resp)
+	if unframed && !x.limits.Unframed {
 		return x.fail(errNoLength)
 	}
 	if resp.Body != http.NoBody && resp.ContentLength > limit {
@@ -158,7 +159,8 @@
 	if err != nil {
 		return x.fail(err)
 	}
-	x.reusable = !resp.Close && x.conn.buf.Buffered() == 0 && x.allSent()
+	x.conn.keep = keepAlive(resp.Header)
+	x.reusable = !resp.Close && !unframed && x.conn.buf.Buffered() == 0 && x.allSent()
 	return x.answer(resp, body)
 }
 
@@ -196,7 +198,7 @@
 		Started:    true,
 		RetryAfter: retryAfter(resp.Header, time.Now()),
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerShed) == shedBefore {
+	if x.limits.NotRun(resp.StatusCode, resp.Header) {
 		r.Kind = Shed
 		r.Started = false
 	}
--- a/io/agateupstream/header.go
+++ b/io/agateupstream/header.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -47,11 +48,11 @@
 
 // outgoing returns the header of the request to the upstream, without the
 // remaining time.
-func outgoing(c *Call) http.Header {
+func outgoing(c *Call, deadline string) http.Header {
 	h := endToEnd(c.Header)
 	h.Del("Host")
 	h.Del("Content-Length")
-	h.Del(headerDeadline)
+	h.Del(deadline)
 	if needsLength(c) {
 		h.Set("Content-Length", strconv.Itoa(len(c.Body)))
 	}
@@ -88,23 +89,45 @@
 func notPath(r rune) bool { return r <= ' ' || r == 0x7f }
 
 // encodeHead returns the request line and header.
-func encodeHead(c *Call, h http.Header, left time.Duration) []byte {
+func encodeHead(c *Call, h http.Header, deadline string, left time.Duration) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.Path, c.Address)
-	fmt.Fprintf(&b, "%s: %d\r\n", headerDeadline, max(left.Milliseconds(), 1))
+	host := c.Host
+	if host == "" {
+		host = c.Address.String()
+	}
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.Path, host)
+	fmt.Fprintf(&b, "%s: %d\r\n", deadline, max(left.Milliseconds(), 1))
 	_ = h.Write(&b) // a bytes.Buffer does not fail
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
 
+// shed reports whether an answer is the documented one of an upstream that did
+// not run the request.
+func shed(status int, h http.Header) bool {
+	return status == http.StatusServiceUnavailable && h.Get(headerShed) == shedBefore
+}
+
+// keepAlive reads the time that the peer keeps an idle connection, or 0.
+func keepAlive(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.ParseUint(value, 10, 31)
+		if strings.EqualFold(name, "timeout") && err == nil {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
 // retryAfter reads the Retry-After header in either of its two forms.
 func retryAfter(h http.Header, now time.Time) time.Duration {
 	value := h.Get("Retry-After")
 	if value == "" {
 		return 0
 	}
-	if seconds, err := strconv.ParseUint(value, 10, 31); err == nil {
-		return time.Duration(seconds) * time.Second
+	if seconds, err := strconv.ParseFloat(value, 64); err == nil && seconds >= 0 && seconds < math.MaxInt32 {
+		return time.Duration(seconds * float64(time.Second))
 	}
 	if at, err := http.ParseTime(value); err == nil {
 		return max(at.Sub(now), 0)
--- a/io/agateupstream/pool.go
+++ b/io/agateupstream/pool.go
@@ -27,6 +27,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -43,6 +44,7 @@
 	DefaultDialTimeout = 500 * time.Millisecond
 	DefaultUserTimeout = 2 * time.Second
 	DefaultDeadline    = 2 * time.Second
+	DefaultActionLife  = time.Second
 )
 
 // Config holds the settings of a Pool.
@@ -62,9 +64,36 @@
 	// UserTimeout is how long written bytes may stay unacknowledged; default
 	// 2 s.
 	UserTimeout time.Duration
+	// ActionLife is how recently a kept connection must have shown life to
+	// carry an action; default 1 s.
+	ActionLife time.Duration
+	// DeadlineHeader and RequestHeader name the headers with the time left and
+	// with the request's id. The defaults are Agate-Deadline-Ms and
+	// Agate-Request.
+	DeadlineHeader string
+	RequestHeader  string
+	// NotRun reports whether an answer states that the upstream did not run
+	// the request. The default asks for status 503 with the header
+	// "Agate-Shed: before-execution".
+	NotRun func(status int, h http.Header) bool
+	// Unframed accepts answers without a length, which end with their
+	// connection. They are whole only if it ends in order.
+	Unframed bool
 }
 
 func (cfg *Config) setDefaults() {
+	if cfg.ActionLife <= 0 {
+		cfg.ActionLife = DefaultActionLife
+	}
+	if cfg.DeadlineHeader == "" {
+		cfg.DeadlineHeader = headerDeadline
+	}
+	if cfg.RequestHeader == "" {
+		cfg.RequestHeader = headerRequest
+	}
+	if cfg.NotRun == nil {
+		cfg.NotRun = shed
+	}
 	if cfg.BodyLimit <= 0 {
 		cfg.BodyLimit = DefaultBodyLimit
 	}
@@ -220,7 +249,7 @@
 		return r
 	}
 	stop := context.AfterFunc(ctx, c.close)
-	x := exchange{ctx: ctx, call: call, conn: c, header: outgoing(call), limits: &p.cfg}
+	x := exchange{ctx: ctx, call: call, conn: c, header: outgoing(call, p.cfg.DeadlineHeader), limits: &p.cfg}
 	r = x.run()
 	r.Travel = c.travel
 	x.join()
@@ -248,7 +277,7 @@
 	now := time.Now()
 	oldest := now.Add(-p.cfg.IdleAge)
 	if call.Action {
-		oldest = now.Add(-actionLife)
+		oldest = now.Add(-p.cfg.ActionLife)
 	}
 	c, ok = u.acquire(call.Address, oldest)
 	if !ok {
--- a/io/agateupstream/upstream.go
+++ b/io/agateupstream/upstream.go
@@ -6,10 +6,6 @@
 	"time"
 )
 
-// actionLife is how recently a reused connection must have shown life to
-// carry an action.
-const actionLife = time.Second
-
 // breakWindow is how close together connections to one upstream must break
 // for its process to be taken for dead.
 const breakWindow = 50 * time.Millisecond
@@ -64,6 +60,10 @@
 			u.drop(i)
 			continue
 		}
+		if c.expired() {
+			u.drop(i)
+			continue
+		}
 		if c.life.Before(oldest) {
 			continue
 		}
