agatestate, agatefront: leave notices end the known process; silence does not end an attempt

Cause: DELETE carries no start time, so the machine took it for old; a silence probe gave up attempts at which the upstream was still at work.

--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -30,7 +30,8 @@
 	Sequence uint64
 	// Draining means that it takes no new work.
 	Draining bool
-	// Gone means that it left or was given up on.
+	// Gone means that it left or was given up on. With Sequence 0 it ends the
+	// process that is known; Born 0 then means whichever that is.
 	Gone bool
 	// Cold is how much longer it stays cold, counted from the command.
 	Cold time.Duration
@@ -44,6 +45,10 @@
 	return u.Sequence > old.Sequence
 }
 
+// leaves reports whether u is the last word of a process, which comes without
+// a sequence, and without the process's start from some upstreams.
+func (u *Upstream) leaves() bool { return u.Gone && u.Sequence == 0 }
+
 // Announce takes in announcements of upstreams. One that is not newer than
 // what is known, or that names an address at which a later process started,
 // changes nothing. Verdict: Accepted, with Count set to the number of rows
@@ -151,6 +156,14 @@
 func (m *Machine) announceOne(up *Upstream) (changed, room bool) {
 	f := &m.fleet
 	old := f.rows[up.ID]
+	if up.leaves() {
+		if old == nil || old.up.Gone || (up.Born != 0 && up.Born < old.up.Born) {
+			return false, true
+		}
+		old.up.Gone = true
+		m.touch(old)
+		return true, true
+	}
 	if old != nil && !up.newer(&old.up) {
 		return false, true
 	}
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -26,11 +26,6 @@
 	// unsentMost is the number of attempts of a request that reached no
 	// upstream; they do not count as attempts of the route.
 	unsentMost = 3
-	// probeShare is the part of a safe request's time after which a silent
-	// connection is given up, while there is time for another one; probeLeast
-	// is the least such time, above which work may take longer.
-	probeShare = 0.6
-	probeLeast = 400 * time.Millisecond
 	// leastLeft is the time left below which no attempt is worth a start.
 	leastLeft = 5 * time.Millisecond
 	// refusedAgain is when a request that crashes upstreams may come back.
@@ -260,18 +255,10 @@
 		Action:      j.route.Kind == agateplan.Unsafe,
 		Deadline:    j.limit,
 		Grace:       answerGrace,
-		Probe:       j.probe(),
 		BeforeWrite: func() bool { return j.c.ctx.Err() == nil },
 	}
 }
 
-func (j *job) probe() time.Duration {
-	if j.attempts+1 >= j.route.Attempts {
-		return 0
-	}
-	return max(probeLeast, time.Duration(probeShare*float64(time.Until(j.limit))))
-}
-
 // judge turns the end of an attempt into an answer, or leaves the request for
 // another attempt.
 func (j *job) judge(got *agateupstream.Reply) (reply, bool) {
