--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -10,36 +10,34 @@
 )
 
 const (
-	// localBonus is what the hash of an upstream in this region counts less
-	// when an object's preferred upstream is found: objects stay near where
-	// that is cheap, and a region with few upstreams still shares its objects
-	// with others.
+	// localBonus is what the hash of an upstream in this region counts less in
+	// the order of an object's upstreams: objects stay near where that is
+	// cheap, and a region with few upstreams still shares its objects with
+	// others.
 	localBonus = 0.25
 	// nearBonus prefers the same failure domain a little.
 	nearBonus = 0.02
-	// firstWork stands in for the work time of a service, in seconds, and
-	// firstGain for the share of it that an upstream which knows the object
-	// needs, before there are answers.
-	firstWork = 0.25
-	firstGain = 0.35
 	// localTravel and farTravel stand in for the way to an upstream and back,
 	// in seconds, before a connection was opened.
 	localTravel = 0.004
 	farTravel   = 0.042
-	// failCost is the cost of a sure failure, in seconds.
-	failCost = 0.5
-	// sureKnown, likelyKnown and hardlyKnown are the chances that an upstream
-	// knows an object: this host sent it there lately; it is the object's
-	// preferred upstream; neither.
-	sureKnown   = 0.95
-	likelyKnown = 0.85
-	hardlyKnown = 0.1
+	// fullAt is the load in units of the slots up to which an upstream is
+	// never passed over: a queue as long as its slots costs one work time,
+	// much less than work on an upstream that does not know the object.
+	fullAt = 2.0
+	// fullShare is the multiple of the mean load from which an upstream is
+	// passed over when all are loaded. While all are loaded alike, objects
+	// stay where they are known; moving them would cost work that nobody has.
+	fullShare = 1.5
 	// lateBy is the multiple of the target time up to which an answer that
 	// takes a queue is worth a place there.
 	lateBy = 1.5
 	// queueMost is the number of requests for each slot up to which an
 	// upstream is sent more. Beyond it, upstreams refuse.
-	queueMost = 3.0
+	queueMost = 3.5
+	// failSkip is the share of failed attempts from which an upstream is
+	// passed over, if another one has room.
+	failSkip = 0.3
 	// retryLeast is the shortest time to come back that a refused caller is
 	// told, and retryMost the longest.
 	retryLeast = 100 * time.Millisecond
@@ -66,9 +64,9 @@
 // Reasons of decisions.
 const (
 	ReasonPreferred Reason = "preferred" // the object's preferred upstream
-	ReasonKnown     Reason = "known"     // another one that knows the object
-	ReasonBest      Reason = "best"      // least expected time
-	ReasonLast      Reason = "last"      // all others are ejected
+	ReasonNext      Reason = "next"      // the next in the object's order, as those before it are full
+	ReasonLeast     Reason = "least"     // least loaded; the request has no object
+	ReasonLast      Reason = "last"      // all others fail or are ejected
 	ReasonNone      Reason = "none"      // no upstream is usable
 	ReasonBusy      Reason = "busy"      // every usable upstream is full
 	ReasonCold      Reason = "cold"      // only cold ones have room
@@ -85,7 +83,7 @@
 	Reason   Reason
 	// Expected is the expected time to the answer.
 	Expected time.Duration
-	// Load is the estimated load of the chosen upstream, ReportAge how old the
+	// Load is the estimated load of the chosen upstream per slot, ReportAge how old the
 	// report behind it is; zero means that there is none.
 	Load      float64
 	ReportAge time.Duration
@@ -99,40 +97,35 @@
 type candidate struct {
 	u     *upstream
 	order float64 // place in the order of the object's upstreams
-	cost  float64 // seconds
-	load  float64
+	load  float64 // requests running or waiting there, per slot
+	cost  float64 // expected time to the answer in seconds
 }
 
 // search compares upstreams for one request.
 type search struct {
-	t          *Table
-	s          *service
-	r          *Request
-	now        time.Time
-	considered int
-	busy, cold int
-	late       int
-	soonest    float64 // least expected time of those with no room
-	best       candidate
-	last       candidate // best of the ejected ones
-	first      *upstream // the object's preferred upstream
+	t     *Table
+	s     *service
+	r     *Request
+	now   time.Time
+	list  []candidate // in the order of the request's object
+	mean  float64     // load of the usable upstreams
+	busy  int
+	cold  int
+	late  int
+	least float64 // least expected time of those with no room
 }
 
 // Choose decides about a request.
 func (t *Table) Choose(now time.Time, r *Request) Decision {
 	s := t.service(r.Service)
-	x := search{t: t, s: s, r: r, now: now, soonest: math.Inf(1)}
-	x.best.cost = math.Inf(1)
-	x.last.cost = math.Inf(1)
-	x.first = x.preferred()
-	for _, u := range s.upstreams {
-		x.weigh(u)
-	}
-	switch {
-	case x.best.u != nil:
-		return x.send(x.best, "")
-	case x.last.u != nil:
-		return x.send(x.last, ReasonLast)
+	x := search{t: t, s: s, r: r, now: now, least: math.Inf(1)}
+	x.collect()
+	for _, pass := range []Reason{ReasonPreferred, ReasonNext, ReasonLast} {
+		for i := range x.list {
+			if c := &x.list[i]; x.takes(c, pass) {
+				return x.send(c, i, pass)
+			}
+		}
 	}
 	return x.refuse()
 }
@@ -145,94 +138,89 @@
 	return !slices.Contains(x.r.Tried, u.row.ID)
 }
 
-// preferred returns the first upstream in the order of the request's object.
-func (x *search) preferred() *upstream {
-	var first *upstream
-	least := math.Inf(1)
+// collect lists the usable upstreams in the order of the request's object, or
+// by load if it has none.
+func (x *search) collect() {
+	x.list = make([]candidate, 0, len(x.s.upstreams))
+	slots, load := 0.0, 0.0
 	for _, u := range x.s.upstreams {
 		if !x.usable(u) {
 			continue
 		}
-		if o := x.order(u); o < least {
-			first, least = u, o
+		c := x.candidate(u)
+		x.list = append(x.list, c)
+		if !x.now.Before(u.ejectedUntil) {
+			slots += u.slots()
+			load += c.load * u.slots()
 		}
 	}
-	return first
+	if slots > 0 {
+		x.mean = load / slots
+	}
+	slices.SortFunc(x.list, func(a, b candidate) int {
+		switch {
+		case a.order < b.order:
+			return -1
+		case a.order > b.order:
+			return 1
+		}
+		return 0
+	})
 }
 
-// order is the place of an upstream in the order of the request's object.
-func (x *search) order(u *upstream) float64 {
+func (x *search) candidate(u *upstream) candidate {
+	c := candidate{u: u, load: u.load(x.now) / u.slots()}
+	slow := u.slowness(x.now, x.s)
+	// A slow upstream has, in effect, fewer slots.
+	c.load *= slow
+	c.cost = u.way() + x.s.work.value*(slow+max(0, c.load-1))
 	if x.r.Key == 0 {
-		return 0
+		c.order = c.load
+		if !u.local {
+			c.order += localBonus
+		}
+		return c
 	}
-	o := keyScore(x.r.Key, u.row.ID)
+	c.order = keyScore(x.r.Key, u.row.ID)
 	if u.local {
-		o -= localBonus
+		c.order -= localBonus
 	}
 	if u.near {
-		o -= nearBonus
+		c.order -= nearBonus
 	}
-	return o
+	return c
 }
 
-func (x *search) weigh(u *upstream) {
-	if !x.usable(u) {
-		return
-	}
-	x.considered++
-	c := candidate{u: u, load: u.load(x.now)}
-	c.cost = x.cost(u, c.load)
-	slots := float64(max(1, u.row.Slots))
-	idle := c.load < slots
-	switch {
-	case !idle && c.load+1 > slots*queueMost:
-		x.busy++
-		x.soonest = min(x.soonest, c.cost)
-		return
-	case x.now.Add(seconds(c.cost)).After(x.r.Deadline):
-		x.late++
-		return
-	case !idle && !x.r.Target.IsZero() && c.cost > lateBy*x.r.Target.Sub(x.now).Seconds():
-		x.busy++
-		x.soonest = min(x.soonest, c.cost)
-		return
-	case !x.t.admitsCold(x.now, u, x.s):
-		x.cold++
-		return
-	}
-	into := &x.best
-	if x.now.Before(u.ejectedUntil) {
-		into = &x.last
+// takes reports whether an upstream gets the request in a pass over the list:
+// first those that are not fuller than others, then those with any room, at
+// last those that fail.
+func (x *search) takes(c *candidate, pass Reason) bool {
+	u := c.u
+	bad := x.now.Before(u.ejectedUntil) || u.failing.mean > failSkip
+	if bad && pass != ReasonLast {
+		return false
 	}
-	if c.cost < into.cost {
-		*into = c
+	if pass == ReasonPreferred && c.load > max(fullAt, fullShare*x.mean) {
+		return false
 	}
-}
-
-// cost is the expected time to the answer, in seconds.
-func (x *search) cost(u *upstream, load float64) float64 {
-	slots := float64(max(1, u.row.Slots))
-	work := x.s.work(x.chance(u))
-	slow := u.slowness(x.now)
-	if x.now.Before(u.coldUntil) && u.ratio.n < 3 {
-		slow = max(slow, 2) // cold upstreams are slow, see the plan's warm time
+	count := func(n *int) bool {
+		if pass == ReasonNext || bad {
+			*n++
+		}
+		return false
 	}
-	wait := max(0, load+1-slots) / slots * x.s.mean() * slow
-	return u.way() + wait + work*slow + u.failing.mean*failCost
-}
-
-// chance is the chance that an upstream knows the request's object.
-func (x *search) chance(u *upstream) float64 {
+	idle := c.load < 1
+	target := lateBy * x.r.Target.Sub(x.now).Seconds()
 	switch {
-	case x.r.Key == 0:
-		return 0.5
-	case u.knows(x.now, x.r.Key):
-		return sureKnown
-	case u == x.first:
-		return likelyKnown
+	case x.now.Add(seconds(c.cost)).After(x.r.Deadline):
+		return count(&x.late)
+	case !idle && c.load+1/u.slots() > queueMost, !idle && !x.r.Target.IsZero() && c.cost > target:
+		x.least = min(x.least, c.cost)
+		return count(&x.busy)
+	case !x.t.admitsCold(x.now, u, x.s):
+		return count(&x.cold)
 	}
-	// The next in the order of the object are the likelier ones.
-	return hardlyKnown * (1 - keyScore(x.r.Key, u.row.ID))
+	return true
 }
 
 // way is the time to an upstream and back, in seconds.
@@ -246,28 +234,6 @@
 	return farTravel
 }
 
-// work is the expected work time in seconds for a chance that the object is
-// known.
-func (s *service) work(chance float64) float64 {
-	cold := firstWork
-	if s.cold.n > 0 {
-		cold = s.cold.mean
-	}
-	warm := cold * firstGain
-	if s.warm.n > 0 {
-		warm = min(s.warm.mean, cold)
-	}
-	return chance*warm + (1-chance)*cold
-}
-
-// mean is the mean work time in seconds.
-func (s *service) mean() float64 {
-	if s.all.n > 0 {
-		return s.all.mean
-	}
-	return firstWork * firstGain
-}
-
 // admitsCold reports whether a cold upstream can take one more request from
 // this host within its part of what the upstream bears.
 func (t *Table) admitsCold(now time.Time, u *upstream, s *service) bool {
@@ -300,38 +266,36 @@
 	return s.WarmRate / float64(hosts), max(1, t.cfg.ColdExcess/2/float64(hosts))
 }
 
-func (x *search) send(c candidate, why Reason) Decision {
+func (x *search) send(c *candidate, place int, pass Reason) Decision {
 	d := Decision{
 		Upstream:   c.u.row.ID,
 		Address:    c.u.row.Address,
 		Region:     c.u.region,
-		Reason:     why,
+		Reason:     pass,
 		Expected:   seconds(c.cost),
 		Load:       c.load,
-		Considered: x.considered,
+		Considered: len(x.list),
 	}
 	if !c.u.reportAt.IsZero() {
 		d.ReportAge = x.now.Sub(c.u.reportAt)
 	}
 	switch {
-	case why != "":
-	case x.r.Key != 0 && c.u == x.first:
-		d.Reason = ReasonPreferred
-	case x.r.Key != 0 && c.u.knows(x.now, x.r.Key):
-		d.Reason = ReasonKnown
-	default:
-		d.Reason = ReasonBest
+	case pass == ReasonLast:
+	case x.r.Key == 0:
+		d.Reason = ReasonLeast
+	case place > 0:
+		d.Reason = ReasonNext
 	}
 	return d
 }
 
 func (x *search) refuse() Decision {
-	d := Decision{Reason: ReasonNone, Considered: x.considered, RetryAfter: retryMost}
+	d := Decision{Reason: ReasonNone, Considered: len(x.list), RetryAfter: retryMost}
 	switch {
 	case x.busy > 0:
 		d.Reason = ReasonBusy
 		// The queue is served down to what is worth waiting for.
-		over := x.soonest - lateBy*x.r.Target.Sub(x.now).Seconds()
+		over := x.least - lateBy*x.r.Target.Sub(x.now).Seconds()
 		d.RetryAfter = seconds(max(over, 0)) + retryLeast
 	case x.cold > 0:
 		d.Reason = ReasonCold
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -30,11 +30,6 @@
 // Observation is how one attempt ended.
 type Observation struct {
 	Outcome Outcome
-	Key     uint64
-	// Known repeats Ticket.Known.
-	Known bool
-	// Queued repeats Ticket.Queued.
-	Queued bool
 	// Latency is the time from Start to the end of the attempt.
 	Latency time.Duration
 	// Travel is the network's round trip as measured when the connection was
@@ -47,30 +42,16 @@
 	Died bool
 }
 
-// Ticket is what Start notes about an attempt for Finish.
-type Ticket struct {
-	// Known says that the upstream was known to know the object.
-	Known bool
-	// Queued says that the request probably had to wait for a slot.
-	Queued bool
-}
-
 // Start notes that a request is sent to an upstream.
-func (t *Table) Start(now time.Time, id string, r *Request) Ticket {
+func (t *Table) Start(now time.Time, id string) {
 	u := t.upstreams[id]
 	if u == nil {
-		return Ticket{}
-	}
-	k := Ticket{Queued: u.load(now) >= float64(u.row.Slots)}
-	if r.Key != 0 {
-		k.Known = u.knows(now, r.Key)
-		u.learn(now, r.Key)
+		return
 	}
 	u.own++
 	if now.Before(u.coldUntil) {
 		u.coldTake.level--
 	}
-	return k
 }
 
 // Finish notes the end of an attempt.
@@ -92,11 +73,10 @@
 		t.learnWork(now, u, &o)
 	case Shed:
 		if !o.Reported {
-			u.others = max(u.others, float64(u.row.Slots)*queueMost-float64(u.own))
+			u.others.mean = max(u.others.mean, u.slots()*queueMost-float64(u.own))
 			u.reportAt = now
 		}
 		u.failed(now, shedWeight, false)
-		delete(u.known, o.Key)
 	case Moved, Unreachable:
 		u.failed(now, 1, true)
 	case Failed, TimedOut:
@@ -107,30 +87,11 @@
 
 // learnWork learns work times from an answer.
 func (t *Table) learnWork(now time.Time, u *upstream, o *Observation) {
-	s := t.service(u.row.Service)
-	work := max(0, o.Latency.Seconds()-u.way())
+	work := max(0.0005, o.Latency.Seconds()-u.way())
 	u.latency.add(o.Latency.Seconds(), latencyWindow)
-	if o.Queued {
-		return // the wait is not work
-	}
-	usual := s.cold.mean
-	if o.Known {
-		usual = s.warm.mean
-	}
-	if usual > 0 {
-		u.ratio.add(work/usual, latencyWindow)
-		u.ratioAt = now
-	}
-	if u.slowness(now) > 2 {
-		return // a slow upstream says nothing about the service
-	}
-	const window = 64
-	s.all.add(work, window)
-	if o.Known {
-		s.warm.add(work, window)
-	} else {
-		s.cold.add(work, window)
-	}
+	u.work.add(work, workShare)
+	u.workAt = now
+	t.service(u.row.Service).work.add(work, workShare)
 }
 
 // Retry reports whether the budget allows one more attempt at a service, and
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -161,7 +161,7 @@
 func (t *Table) service(name string) *service {
 	s := t.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, work: quantile{value: firstWork}}
 		t.services[name] = s
 	}
 	return s
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -16,17 +16,27 @@
 	failWindow = 12
 	// latencyWindow is the number of answers over which latency is averaged.
 	latencyWindow = 16
-	// reportLife is the time constant with which a reported load is forgotten:
-	// about the time in which the queue that it tells of has been served.
-	reportLife = 300 * time.Millisecond
+	// loadWindow is the number of reports over which the load from other hosts
+	// is averaged; one report alone is the chance of a moment.
+	loadWindow = 3
+	// reportFresh is how long a reported load counts in full, and reportLife
+	// the time constant with which it is forgotten afterwards.
+	reportFresh = time.Second
+	reportLife  = time.Second
 	// ratioLife is the time constant with which the speed of an upstream that
 	// gives no answers returns to normal, so that it is tried again.
 	ratioLife = 3 * time.Second
-	// knownLife is how long an upstream is taken to know an object after this
-	// host sent it a request on it.
-	knownLife = 15 * time.Second
-	// knownMost bounds the objects remembered for an upstream.
-	knownMost = 1024
+	// slowFrom is the ratio of work times from which an upstream counts as
+	// slow; below, the difference is that of the objects.
+	slowFrom = 1.8
+	// workShare is the quantile of answer times that stands for the work on an
+	// object that is known, without a wait.
+	workShare = 0.3
+	// workStep is the step of the estimate of that quantile, as a share of it.
+	workStep = 0.05
+	// firstWork stands in for the work time before there are answers, in
+	// seconds.
+	firstWork = 0.08
 	// coldHosts is the number of hosts that may send to a cold upstream. More
 	// would each get less than a request a second.
 	coldHosts = 4
@@ -44,6 +54,27 @@
 	e.mean += (x - e.mean) / float64(e.n)
 }
 
+// quantile estimates a quantile of a stream of values.
+type quantile struct {
+	value float64
+	n     int
+}
+
+// add moves the estimate by a small step towards the quantile at share.
+func (q *quantile) add(x, share float64) {
+	q.n++
+	if q.n == 1 {
+		q.value = x
+		return
+	}
+	step := workStep * q.value
+	if x > q.value {
+		q.value += step * share
+	} else {
+		q.value -= step * (1 - share)
+	}
+}
+
 // upstream is one upstream of the table.
 type upstream struct {
 	row    Row
@@ -52,13 +83,12 @@
 	local  bool // in the region of this host
 
 	own int // requests in flight from this host
-	// others is the load that other hosts cause, as last reported.
-	others   float64
+	// others is the load that other hosts cause, as reported.
+	others   ewma
 	reportAt time.Time
 
-	// ratio is the work time in units of what is usual for the service.
-	ratio   ewma
-	ratioAt time.Time
+	work    quantile // seconds
+	workAt  time.Time
 	latency ewma // seconds
 	travel  ewma // seconds there and back
 
@@ -70,54 +100,41 @@
 	coldUntil time.Time
 	coldRank  int
 	coldTake  bucket
-
-	known map[uint64]time.Time
 }
 
 func newUpstream(id string) *upstream {
-	return &upstream{row: Row{ID: id}, known: map[uint64]time.Time{}}
+	return &upstream{row: Row{ID: id}}
 }
 
+// slots is the number of requests that run there at once.
+func (u *upstream) slots() float64 { return float64(max(1, u.row.Slots)) }
+
 // load is the number of requests that are probably running or waiting there.
 func (u *upstream) load(now time.Time) float64 {
-	if u.others <= 0 {
-		return float64(u.own)
+	old := now.Sub(u.reportAt) - reportFresh
+	if old <= 0 {
+		return float64(u.own) + u.others.mean
 	}
-	fade := math.Exp(-now.Sub(u.reportAt).Seconds() / reportLife.Seconds())
-	return float64(u.own) + u.others*fade
+	return float64(u.own) + u.others.mean*math.Exp(-old.Seconds()/reportLife.Seconds())
 }
 
-// report takes a load that the upstream told with an answer. own is this
-// host's part of it, the answered request not included.
+// report takes a load that the upstream told with an answer.
 func (u *upstream) report(now time.Time, running, waiting int) {
-	u.others = max(0, float64(running+waiting-u.own))
+	u.others.add(max(0, float64(running+waiting-u.own)), loadWindow)
 	u.reportAt = now
 }
 
-// slowness is the ratio, which returns to 1 while no answers come.
-func (u *upstream) slowness(now time.Time) float64 {
-	if u.ratio.n < 3 {
+// slowness is the work time in units of what is usual for the service, or 1.
+// It returns to 1 while no answers come.
+func (u *upstream) slowness(now time.Time, s *service) float64 {
+	if u.work.n < 5 || s.work.value <= 0 {
 		return 1
 	}
-	fade := math.Exp(-now.Sub(u.ratioAt).Seconds() / ratioLife.Seconds())
-	return 1 + (u.ratio.mean-1)*fade
-}
-
-// knows reports whether this host sent a request on an object lately.
-func (u *upstream) knows(now time.Time, key uint64) bool {
-	at, ok := u.known[key]
-	return ok && now.Sub(at) < knownLife
-}
-
-func (u *upstream) learn(now time.Time, key uint64) {
-	if len(u.known) >= knownMost {
-		for k, at := range u.known {
-			if now.Sub(at) > knownLife || len(u.known) >= knownMost {
-				delete(u.known, k)
-			}
-		}
+	ratio := u.work.value / s.work.value
+	if ratio < slowFrom {
+		return 1
 	}
-	u.known[key] = now
+	return 1 + (ratio-1)*math.Exp(-now.Sub(u.workAt).Seconds()/ratioLife.Seconds())
 }
 
 // failed counts a failure and ejects the upstream after some in a row.
@@ -161,8 +178,6 @@
 type service struct {
 	name      string
 	upstreams []*upstream // by identity
-	// warm and cold are the work times on upstreams that know the object and
-	// on others, in seconds; all is the mean of both.
-	warm, cold, all ewma
-	retries         bucket
+	work      quantile    // seconds
+	retries   bucket
 }
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -210,7 +210,7 @@
 	f := j.f
 	begun := time.Now()
 	f.mu.Lock()
-	ticket := f.table.Start(begun, d.Upstream, &j.ask)
+	f.table.Start(begun, d.Upstream)
 	f.mu.Unlock()
 	done := f.suspects.running(j.print, d.Upstream)
 	got := f.pool.Do(j.context(), j.call(d))
@@ -222,7 +222,6 @@
 	}
 	done()
 	o := f.observe(&got)
-	o.Key, o.Known, o.Queued = j.ask.Key, ticket.Known, ticket.Queued
 	f.mu.Lock()
 	f.table.Finish(time.Now(), d.Upstream, o)
 	f.mu.Unlock()
