--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -21,10 +21,15 @@
 	// in seconds, before a connection was opened.
 	localTravel = 0.004
 	farTravel   = 0.042
-	// fullAt is the load in units of the slots up to which an upstream is
-	// never passed over: a queue as long as its slots costs one work time,
-	// much less than work on an upstream that does not know the object.
-	fullAt = 2.0
+	// fullAt is the load in units of the slots up to which an object's first
+	// upstream is never passed over: a queue as long as its slots costs one
+	// work time, much less than work on an upstream that does not know the
+	// object. The second one is asked up to secondAt, any other only while
+	// more than half of it is idle, up to idleAt: the work on an object that
+	// is not known there must not take the place of that on known ones.
+	fullAt   = 2.0
+	secondAt = 1.0
+	idleAt   = 0.5
 	// fullShare is the multiple of the mean load from which an upstream is
 	// passed over when all are loaded. While all are loaded alike, objects
 	// stay where they are known; moving them would cost work that nobody has.
@@ -99,6 +104,7 @@
 	order float64 // place in the order of the object's upstreams
 	load  float64 // requests running or waiting there, per slot
 	cost  float64 // expected time to the answer in seconds
+	bad   bool    // it fails or is ejected
 }
 
 // search compares upstreams for one request.
@@ -121,9 +127,14 @@
 	x := search{t: t, s: s, r: r, now: now, least: math.Inf(1)}
 	x.collect()
 	for _, pass := range []Reason{ReasonPreferred, ReasonNext, ReasonLast} {
+		place := 0
 		for i := range x.list {
-			if c := &x.list[i]; x.takes(c, pass) {
-				return x.send(c, i, pass)
+			c := &x.list[i]
+			if x.takes(c, pass, place) {
+				return x.send(c, place, pass)
+			}
+			if !c.bad {
+				place++
 			}
 		}
 	}
@@ -170,6 +181,7 @@
 
 func (x *search) candidate(u *upstream) candidate {
 	c := candidate{u: u, load: u.load(x.now) / u.slots()}
+	c.bad = x.now.Before(u.ejectedUntil) || u.failing.mean > failSkip
 	slow := u.slowness(x.now, x.s)
 	// A slow upstream has, in effect, fewer slots.
 	c.load *= slow
@@ -191,20 +203,37 @@
 	return c
 }
 
+// limit is the load up to which the upstream at a place in the object's order
+// gets a request while others are less loaded.
+func (x *search) limit(place int) float64 {
+	switch {
+	case x.r.Key == 0 || place == 0:
+		return max(fullAt, fullShare*x.mean)
+	case place == 1:
+		return max(secondAt, x.mean)
+	}
+	return idleAt
+}
+
 // takes reports whether an upstream gets the request in a pass over the list:
-// first those that are not fuller than others, then those with any room, at
-// last those that fail.
-func (x *search) takes(c *candidate, pass Reason) bool {
+// first those that are not fuller than others, then the first two of the
+// object's order if they have any room, at last those that fail.
+func (x *search) takes(c *candidate, pass Reason, place int) bool {
 	u := c.u
-	bad := x.now.Before(u.ejectedUntil) || u.failing.mean > failSkip
-	if bad && pass != ReasonLast {
+	if c.bad && pass != ReasonLast {
+		return false
+	}
+	if pass == ReasonPreferred && c.load > x.limit(place) {
+		return false
+	}
+	if pass == ReasonNext && x.r.Key != 0 && place > 1 {
 		return false
 	}
-	if pass == ReasonPreferred && c.load > max(fullAt, fullShare*x.mean) {
+	if pass == ReasonLast && !c.bad {
 		return false
 	}
 	count := func(n *int) bool {
-		if pass == ReasonNext || bad {
+		if pass != ReasonPreferred {
 			*n++
 		}
 		return false
