--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -1,6 +1,7 @@
 package agatebalance
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -21,22 +22,20 @@
 	// in seconds, before a connection was opened.
 	localTravel = 0.004
 	farTravel   = 0.042
-	// fullAt is the load in units of the slots up to which an object's first
-	// upstream is never passed over: a queue as long as its slots costs one
-	// work time, much less than work on an upstream that does not know the
-	// object. The second one is asked up to secondAt, any other only while
-	// more than half of it is idle, up to idleAt: the work on an object that
-	// is not known there must not take the place of that on known ones.
-	fullAt   = 2.0
-	secondAt = 1.0
-	idleAt   = 0.5
-	// fullShare is the multiple of the mean load from which an upstream is
-	// passed over when all are loaded. While all are loaded alike, objects
-	// stay where they are known; moving them would cost work that nobody has.
-	fullShare = 1.5
+	// orderCost is what the whole range of an object's order costs, in load per
+	// slot. The next upstream in the order is about a thirteenth of that
+	// further with a dozen upstreams, so it takes over when the one before it
+	// is fuller by about one and a half requests a slot: work on an object
+	// that is not known there takes the place of several on known ones.
+	orderCost = 20.0
+	// spread is the number of upstreams of an object's order that are sent its
+	// requests whatever their load. Others get them only up to the load
+	// idleAt: an upstream that many objects reach forgets them in turn.
+	spread = 2
+	idleAt = 1.0
 	// lateBy is the multiple of the target time up to which an answer that
 	// takes a queue is worth a place there.
-	lateBy = 1.5
+	lateBy = 2.5
 	// queueMost is the number of requests for each slot up to which an
 	// upstream is sent more. Beyond it, upstreams refuse.
 	queueMost = 3.5
@@ -103,8 +102,10 @@
 	u     *upstream
 	order float64 // place in the order of the object's upstreams
 	load  float64 // requests running or waiting there, per slot
-	cost  float64 // expected time to the answer in seconds
+	cost  float64 // order and load together
+	time  float64 // expected time to the answer in seconds
 	bad   bool    // it fails or is ejected
+	place int     // number of sound upstreams before it in the order
 }
 
 // search compares upstreams for one request.
@@ -113,8 +114,7 @@
 	s     *service
 	r     *Request
 	now   time.Time
-	list  []candidate // in the order of the request's object
-	mean  float64     // load of the usable upstreams
+	list  []candidate // by cost
 	busy  int
 	cold  int
 	late  int
@@ -126,15 +126,10 @@
 	s := t.service(r.Service)
 	x := search{t: t, s: s, r: r, now: now, least: math.Inf(1)}
 	x.collect()
-	for _, pass := range []Reason{ReasonPreferred, ReasonNext, ReasonLast} {
-		place := 0
+	for _, last := range []bool{false, true} {
 		for i := range x.list {
-			c := &x.list[i]
-			if x.takes(c, pass, place) {
-				return x.send(c, place, pass)
-			}
-			if !c.bad {
-				place++
+			if c := &x.list[i]; c.bad == last && x.admits(c) {
+				return x.send(c)
 			}
 		}
 	}
@@ -149,34 +144,24 @@
 	return !slices.Contains(x.r.Tried, u.row.ID)
 }
 
-// collect lists the usable upstreams in the order of the request's object, or
-// by load if it has none.
+// collect lists the usable upstreams by their cost for the request.
 func (x *search) collect() {
 	x.list = make([]candidate, 0, len(x.s.upstreams))
-	slots, load := 0.0, 0.0
 	for _, u := range x.s.upstreams {
-		if !x.usable(u) {
-			continue
-		}
-		c := x.candidate(u)
-		x.list = append(x.list, c)
-		if !x.now.Before(u.ejectedUntil) {
-			slots += u.slots()
-			load += c.load * u.slots()
+		if x.usable(u) {
+			x.list = append(x.list, x.candidate(u))
 		}
 	}
-	if slots > 0 {
-		x.mean = load / slots
-	}
-	slices.SortFunc(x.list, func(a, b candidate) int {
-		switch {
-		case a.order < b.order:
-			return -1
-		case a.order > b.order:
-			return 1
+	slices.SortFunc(x.list, func(a, b candidate) int { return cmp.Compare(a.order, b.order) })
+	place := 0
+	for i := range x.list {
+		c := &x.list[i]
+		c.place = place
+		if !c.bad {
+			place++
 		}
-		return 0
-	})
+	}
+	slices.SortStableFunc(x.list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 }
 
 func (x *search) candidate(u *upstream) candidate {
@@ -185,71 +170,48 @@
 	slow := u.slowness(x.now, x.s)
 	// A slow upstream has, in effect, fewer slots.
 	c.load *= slow
-	c.cost = u.way() + x.s.work.value*(slow+max(0, c.load-1))
-	if x.r.Key == 0 {
-		c.order = c.load
-		if !u.local {
-			c.order += localBonus
-		}
-		return c
+	c.time = u.way() + x.s.work.value*(slow+max(0, c.load-1))
+	c.order = x.order(u)
+	c.cost = c.load + orderCost*c.order
+	return c
+}
+
+// order is the place of an upstream in the order of the request's object. For
+// requests without an object only its place in the network counts.
+func (x *search) order(u *upstream) float64 {
+	order := 0.0
+	if x.r.Key != 0 {
+		order = keyScore(x.r.Key, u.row.ID)
+	} else if !u.local {
+		return nearBonus
 	}
-	c.order = keyScore(x.r.Key, u.row.ID)
 	if u.local {
-		c.order -= localBonus
+		order -= localBonus
 	}
 	if u.near {
-		c.order -= nearBonus
-	}
-	return c
-}
-
-// limit is the load up to which the upstream at a place in the object's order
-// gets a request while others are less loaded.
-func (x *search) limit(place int) float64 {
-	switch {
-	case x.r.Key == 0 || place == 0:
-		return max(fullAt, fullShare*x.mean)
-	case place == 1:
-		return max(secondAt, x.mean)
+		order -= nearBonus
 	}
-	return idleAt
+	return order
 }
 
-// takes reports whether an upstream gets the request in a pass over the list:
-// first those that are not fuller than others, then the first two of the
-// object's order if they have any room, at last those that fail.
-func (x *search) takes(c *candidate, pass Reason, place int) bool {
-	u := c.u
-	if c.bad && pass != ReasonLast {
-		return false
-	}
-	if pass == ReasonPreferred && c.load > x.limit(place) {
-		return false
-	}
-	if pass == ReasonNext && x.r.Key != 0 && place > 1 {
-		return false
-	}
-	if pass == ReasonLast && !c.bad {
-		return false
-	}
-	count := func(n *int) bool {
-		if pass != ReasonPreferred {
-			*n++
-		}
-		return false
-	}
+// admits reports whether an upstream has room for the request.
+func (x *search) admits(c *candidate) bool {
 	idle := c.load < 1
 	target := lateBy * x.r.Target.Sub(x.now).Seconds()
 	switch {
-	case x.now.Add(seconds(c.cost)).After(x.r.Deadline):
-		return count(&x.late)
-	case !idle && c.load+1/u.slots() > queueMost, !idle && !x.r.Target.IsZero() && c.cost > target:
-		x.least = min(x.least, c.cost)
-		return count(&x.busy)
-	case !x.t.admitsCold(x.now, u, x.s):
-		return count(&x.cold)
+	case x.now.Add(seconds(c.time)).After(x.r.Deadline):
+		x.late++
+	case !idle && c.load+1/c.u.slots() > queueMost, !idle && !x.r.Target.IsZero() && c.time > target:
+		x.least = min(x.least, c.time)
+		x.busy++
+	case x.r.Key != 0 && c.place >= spread && c.load > idleAt:
+		x.busy++
+	case !x.t.admitsCold(x.now, c.u, x.s):
+		x.cold++
+	default:
+		return true
 	}
-	return true
+	return false
 }
 
 // way is the time to an upstream and back, in seconds.
@@ -295,13 +257,13 @@
 	return s.WarmRate / float64(hosts), max(1, t.cfg.ColdExcess/2/float64(hosts))
 }
 
-func (x *search) send(c *candidate, place int, pass Reason) Decision {
+func (x *search) send(c *candidate) Decision {
 	d := Decision{
 		Upstream:   c.u.row.ID,
 		Address:    c.u.row.Address,
 		Region:     c.u.region,
-		Reason:     pass,
-		Expected:   seconds(c.cost),
+		Reason:     ReasonNext,
+		Expected:   seconds(c.time),
 		Load:       c.load,
 		Considered: len(x.list),
 	}
@@ -309,11 +271,12 @@
 		d.ReportAge = x.now.Sub(c.u.reportAt)
 	}
 	switch {
-	case pass == ReasonLast:
+	case c.bad:
+		d.Reason = ReasonLast
 	case x.r.Key == 0:
 		d.Reason = ReasonLeast
-	case place > 0:
-		d.Reason = ReasonNext
+	case c.place == 0:
+		d.Reason = ReasonPreferred
 	}
 	return d
 }
--- /dev/null
+++ b/core/agatebalance/policy_test.go
@@ -0,0 +1,69 @@
+package agatebalance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The workloads are those of a service whose upstreams work three times as
+// long on objects that they do not know, and that cannot carry its load unless
+// most requests meet a known object.
+var base = load{
+	objects: 57, keeps: 59, work: 240 * time.Millisecond, warm: 0.3, slots: 5, upstreams: [3]int{4, 6, 2}, hosts: 9,
+	target: 200 * time.Millisecond, deadline: 1200 * time.Millisecond, length: 20 * time.Second,
+}
+
+func with(name string, change func(*load)) load {
+	l := base
+	l.name = name
+	change(&l)
+	return l
+}
+
+var workloads = []struct {
+	load  load
+	least float64 // share in time that the users' target asks for
+}{
+	{with("calm", func(l *load) { l.rate = 230 }), 0.9},
+	{with("high", func(l *load) { l.rate = 458 }), 0.75},
+	{with("burst", func(l *load) { l.rate = 400; l.burst = 1.5 }), 0.75},
+	{with("over", func(l *load) { l.rate = 760 }), 0.6},
+	{with("flood", func(l *load) { l.rate = 400; l.burst = 3 }), 0.5},
+	{with("slow", func(l *load) { l.rate = 400; l.slow = 3; l.slowBy = 8 }), 0.5},
+}
+
+// Guards against the collapse in which full upstreams send objects to others
+// that do not know them, whose longer work fills these in turn.
+func TestPolicyServesUnderLoad(t *testing.T) {
+	for _, w := range workloads {
+		t.Run(w.load.name, func(t *testing.T) {
+			got := play(w.load, 20261203, newProduct)
+			t.Logf("%+v share %.3f", got, got.share())
+			assert.Assert(t, got.share() >= w.least, "%+v", got)
+		})
+	}
+}
+
+// Guards against a policy that is worse, over all workloads together, than a
+// rule of ten lines that counts only its own requests.
+func TestPolicyBeatsCrudeRule(t *testing.T) {
+	rows := []struct{ far, sticky, cut float64 }{{20, 0, 1}, {3, 6, 1}, {3, 12, 1}, {4, 12, 1.5}, {3, 24, 1}, {0.5, 6, 1}}
+	sum := 0.0
+	for _, w := range workloads {
+		sum += play(w.load, 20261203, newProduct).share()
+	}
+	for _, r := range rows {
+		t.Run(fmt.Sprint(r), func(t *testing.T) {
+			other := 0.0
+			for _, w := range workloads {
+				other += play(w.load, 20261203, newCrude(r.far, r.sticky, r.cut)).share()
+			}
+			n := float64(len(workloads))
+			t.Logf("mean share %.3f, product %.3f", other/n, sum/n)
+			assert.Assert(t, sum > other)
+		})
+	}
+}
--- /dev/null
+++ b/core/agateplan/script_test.go
@@ -0,0 +1,142 @@
+package agateplan_test
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"agategate/core/agateplan"
+)
+
+// A script builds a plan with the lines "version N", "service NAME", "host
+// NAME" and "route PREFIX key=value..." (of the host before it), and checks it
+// with "match HOST PATH -> ROUTE", "pick ROUTE DRAW -> SERVICE" and "check ->
+// WORDS", where each word must occur in the problems; no words mean none.
+
+// A script guards the rules by which a request finds its service, and the
+// plans that must be refused.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) { runScript(t, file) })
+	}
+}
+
+func runScript(t *testing.T, file string) {
+	text, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	p := &agateplan.Plan{}
+	for n, line := range strings.Split(string(text), "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		do, want, _ := strings.Cut(line, "->")
+		words := strings.Fields(do)
+		want = strings.TrimSpace(want)
+		if len(words) == 0 {
+			continue
+		}
+		at := file + ":" + strconv.Itoa(n+1)
+		switch words[0] {
+		case "plan":
+			p = &agateplan.Plan{}
+		case "version":
+			p.Version, err = strconv.ParseUint(words[1], 10, 64)
+			assert.NilError(t, err, at)
+		case "service":
+			p.Services = append(p.Services, agateplan.Service{Name: words[1]})
+		case "host":
+			p.Hosts = append(p.Hosts, agateplan.Host{Name: strings.Trim(words[1], `"`)})
+		case "route":
+			h := &p.Hosts[len(p.Hosts)-1]
+			h.Routes = append(h.Routes, route(t, words[1:]))
+		case "match":
+			got := ""
+			if r := agateplan.NewIndex(p).Match(words[1], words[2]); r != nil {
+				got = r.Name
+			}
+			assert.Equal(t, got, want, at)
+		case "pick":
+			draw, err := strconv.ParseFloat(words[2], 64)
+			assert.NilError(t, err, at)
+			assert.Equal(t, find(p, words[1]).Pick(draw), want, at)
+		case "check":
+			checkPlan(t, p, want, at)
+		default:
+			t.Fatalf("%s: unknown word %q", at, words[0])
+		}
+	}
+}
+
+func checkPlan(t *testing.T, p *agateplan.Plan, want, at string) {
+	t.Helper()
+	err := p.Check()
+	if want == "" {
+		assert.NilError(t, err, at)
+		return
+	}
+	for _, text := range strings.Split(want, ";") {
+		assert.ErrorContains(t, err, strings.TrimSpace(text), at)
+	}
+}
+
+func find(p *agateplan.Plan, name string) *agateplan.Route {
+	for _, h := range p.Hosts {
+		for i := range h.Routes {
+			if h.Routes[i].Name == name {
+				return &h.Routes[i]
+			}
+		}
+	}
+	return nil
+}
+
+// route reads "PREFIX name=N to=S:W,S:W attempts=N".
+func route(t *testing.T, words []string) agateplan.Route {
+	r := agateplan.Route{Prefix: words[0], Attempts: 1}
+	for _, word := range words[1:] {
+		key, value, _ := strings.Cut(word, "=")
+		switch key {
+		case "name":
+			r.Name = value
+		case "attempts":
+			n, err := strconv.Atoi(value)
+			assert.NilError(t, err)
+			r.Attempts = n
+		case "to":
+			for _, part := range strings.Split(value, ",") {
+				service, weight, _ := strings.Cut(part, ":")
+				w, err := strconv.ParseFloat(weight, 64)
+				assert.NilError(t, err)
+				r.Parts = append(r.Parts, agateplan.Part{Service: service, Weight: w})
+			}
+		}
+	}
+	return r
+}
+
+// Guards against a stored plan that differs from the one that was sent.
+func TestDocumentKeepsPlanAndSource(t *testing.T) {
+	doc := &agateplan.Document{
+		Plan: agateplan.Plan{
+			Version:  7,
+			Services: []agateplan.Service{{Name: "labels", Connections: 330, WarmRate: 11}},
+			Hosts: []agateplan.Host{{Name: "a.example", Routes: []agateplan.Route{{
+				Name: "r", Prefix: "/x/", Kind: agateplan.Safe, Parts: []agateplan.Part{{Service: "labels", Weight: 1}},
+				Attempts: 2, Sticky: true, Regions: []string{"centro"},
+			}}}},
+		},
+		Source: []byte("as it was sent"),
+	}
+	b, err := doc.Encode()
+	assert.NilError(t, err)
+	got, err := agateplan.DecodeDocument(b)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, doc)
+	_, err = agateplan.DecodeDocument(b[:len(b)-1])
+	assert.ErrorContains(t, err, "agateplan: decode")
+}
--- a/core/agatestate/script_test.go
+++ b/core/agatestate/script_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"crypto/sha256"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -70,6 +72,22 @@
 	return ps
 }
 
+// upstream builds an announcement; at= is the last byte of its address.
+func (a args) upstream() agatestate.Upstream {
+	return agatestate.Upstream{
+		ID:       a["id"],
+		Service:  a.or("service", "labels"),
+		Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(a.number("at", 1))}), 80),
+		Domain:   a.or("domain", "centro-1"),
+		Slots:    a.number("slots", 3),
+		Born:     int64(a.number("born", 1)),
+		Sequence: uint64(a.number("seq", 0)),
+		Draining: a.or("draining", "false") == "true",
+		Gone:     a.or("gone", "false") == "true",
+		Cold:     a.duration("cold", "0s"),
+	}
+}
+
 // command builds the command of a script line.
 func command(verb string, a args, index uint64) agatestate.Command {
 	service, key := a.or("service", "labels"), a.or("key", "k")
@@ -111,6 +129,10 @@
 			Retention: a.duration("retention", "24h"), Records: a.number("records", 0),
 			Bytes: a.number("bytes", 1<<20), Answer: a.number("answer", 1<<10),
 		}}
+	case "announce":
+		return agatestate.Command{Announce: &agatestate.Announce{Upstreams: []agatestate.Upstream{a.upstream()}}}
+	case "evacuate":
+		return agatestate.Command{Evacuate: &agatestate.Evacuate{Domain: a["domain"], On: a.or("on", "true") == "true"}}
 	case "settle":
 		outcomes := map[string]agatestate.Outcome{
 			"survived": agatestate.Survived, "died": agatestate.Died, "not-started": agatestate.NotStarted,
@@ -187,6 +209,10 @@
 			assert.Equal(t, suspects(m, parseArgs(words[1:])), strings.TrimSpace(want), at)
 			continue
 		}
+		if words[0] == "fleet" {
+			assert.Equal(t, fleet(m, parseArgs(words[1:])), strings.TrimSpace(want), at)
+			continue
+		}
 		assert.Assert(t, checked, at)
 		now, err := time.ParseDuration(words[0])
 		assert.NilError(t, err, at)
@@ -214,6 +240,29 @@
 	return s
 }
 
+// fleet renders what changed since an index: "whole" or "delta", a word for
+// each upstream, and the evacuated failure domains.
+func fleet(m *agatestate.Machine, a args) string {
+	d := m.Fleet(uint64(a.number("since", 0)))
+	s := map[bool]string{true: "whole", false: "delta"}[d.Whole]
+	slices.SortFunc(d.Upstreams, func(x, y agatestate.Upstream) int { return strings.Compare(x.ID, y.ID) })
+	for _, u := range d.Upstreams {
+		s += " " + u.ID
+		switch {
+		case u.Gone:
+			s += ":gone"
+		case u.Draining:
+			s += ":draining"
+		case u.Cold > 0:
+			s += ":cold=" + u.Cold.String()
+		}
+	}
+	for _, name := range d.Evacuated {
+		s += " evacuated:" + name
+	}
+	return s
+}
+
 // restored returns a machine that was restored from m's snapshot, after
 // checking that its own snapshot has the same bytes.
 func restored(t interface {
