--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -198,6 +198,32 @@
 	return float64(h>>11) / (1 << 53)
 }
 
+// Shares returns for each upstream the number of connections that this host
+// may have there: its part of what the service's upstreams accept.
+func (t *Table) Shares() map[string]int {
+	out := make(map[string]int, len(t.upstreams))
+	for id, u := range t.upstreams {
+		most := 0
+		if t.plan != nil {
+			if s := t.plan.Service(u.row.Service); s != nil {
+				most = s.Connections
+			}
+		}
+		if most > 0 {
+			out[id] = max(shareLeast, int(shareUsed*float64(most))/max(1, len(t.hosts)))
+		}
+	}
+	return out
+}
+
+const (
+	// shareUsed is the part of an upstream's connections that the hosts use;
+	// the rest is for those that this one does not know.
+	shareUsed = 0.8
+	// shareLeast is the least number of connections to an upstream.
+	shareLeast = 2
+)
+
 // Size is the number of upstreams that are known.
 func (t *Table) Size() int { return len(t.upstreams) }
 
--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -14,6 +14,10 @@
 	// goneAge is how long an upstream that left is remembered, so that a
 	// delayed announcement does not bring it back.
 	goneAge = 2 * time.Minute
+	// returnCold is how long the upstreams of a failure domain count as cold
+	// after its evacuation ended, unless they announce otherwise: three
+	// heartbeats and a margin. They may have cooled down without a restart.
+	returnCold = 5 * time.Second
 )
 
 // Upstream is what the group knows of one upstream.
@@ -226,10 +230,22 @@
 	case !c.On && found:
 		f.evacuated = slices.Delete(f.evacuated, i, i+1)
 		f.index = m.index
+		m.cool(c.Domain)
 	}
 	return Result{Verdict: Accepted}
 }
 
+// cool takes the upstreams of a failure domain for cold.
+func (m *Machine) cool(domain string) {
+	for _, row := range m.fleet.rows {
+		if row.up.Domain != domain || row.up.Gone {
+			continue
+		}
+		row.up.Cold = max(returnCold, m.aged(row).Cold)
+		m.touch(row)
+	}
+}
+
 func (c *Announce) valid() bool {
 	if len(c.Upstreams) == 0 || len(c.Upstreams) > MaxUpstreams {
 		return false
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -45,6 +45,7 @@
 	mu       sync.Mutex
 	watches  map[netip.AddrPort]*watch
 	members  []netip.AddrPort // as a synced replica last said
+	hosts    []string         // names of the entry hosts that live
 	fleet    uint64           // log index that the table holds
 	has      bool             // the table holds the fleet
 	rev      uint64           // revision of the plan in force
@@ -332,9 +333,24 @@
 
 func (l *link) setHosts(names []string) {
 	f := l.f
+	if slices.Equal(names, l.hosts) {
+		return
+	}
+	l.hosts = names
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.table.SetHosts(names)
+	f.mu.Unlock()
+	f.setShares()
+}
+
+// setShares bounds the connections to each upstream.
+func (f *Front) setShares() {
+	f.mu.Lock()
+	shares := f.table.Shares()
+	f.mu.Unlock()
+	for id, n := range shares {
+		f.pool.SetShare(id, n)
+	}
 }
 
 func (l *link) setFleet(now time.Time, reply *agatewire.WatchReply) {
@@ -361,6 +377,7 @@
 	for _, id := range gone {
 		f.pool.Forget(id)
 	}
+	f.setShares()
 	l.fleet = reply.Fleet
 	if !l.has {
 		f.log.Info("fleet known", "kind", "upstream", "upstreams", len(rows), "index", reply.Fleet)
@@ -389,6 +406,7 @@
 	f.table.SetPlan(index)
 	f.plan.Store(index)
 	f.mu.Unlock()
+	f.setShares()
 	l.rev = rev
 	f.log.Info("plan in force", "kind", "plan", "choice", doc.Plan.Version, "revision", rev, "from", addr)
 	for _, w := range l.watches {
