--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -28,6 +28,11 @@
 	// is fuller by about one and a half requests a slot: work on an object
 	// that is not known there takes the place of several on known ones.
 	orderCost = 20.0
+	// moveCost is what leaving an object's first upstream costs while all are
+	// idle, in load per slot, however near the next one is in the order: about
+	// the work on an object that is not known, which the first such request
+	// takes. It falls to nothing as the slots fill, when every queue counts.
+	moveCost = 2.0
 	// spread is the number of upstreams of an object's order that are sent its
 	// requests whatever their load. Others get them only up to the load
 	// idleAt: an upstream that many objects reach forgets them in turn.
@@ -153,10 +158,14 @@
 		}
 	}
 	slices.SortFunc(x.list, func(a, b candidate) int { return cmp.Compare(a.order, b.order) })
+	move := moveCost * max(0, 1-x.mean())
 	place := 0
 	for i := range x.list {
 		c := &x.list[i]
 		c.place = place
+		if place > 0 && x.r.Key != 0 {
+			c.cost += move
+		}
 		if !c.bad {
 			place++
 		}
@@ -164,6 +173,17 @@
 	slices.SortStableFunc(x.list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 }
 
+// mean is the mean load of the usable upstreams per slot.
+func (x *search) mean() float64 {
+	load, slots := 0.0, 0.0
+	for i := range x.list {
+		n := x.list[i].u.slots()
+		load += x.list[i].load * n
+		slots += n
+	}
+	return load / max(1, slots)
+}
+
 func (x *search) candidate(u *upstream) candidate {
 	c := candidate{u: u, load: u.load(x.now) / u.slots()}
 	c.bad = x.now.Before(u.ejectedUntil) || u.failing.mean > failSkip
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -20,14 +20,14 @@
 // The tables of keys and metrics must be those of the code. The flag -update
 // writes them.
 func TestTables(t *testing.T) {
-	data, err := os.ReadFile("operations.md")
+	data, err := os.ReadFile("OPERATIONS.md")
 	assert.NilError(t, err)
 	page := string(data)
 	want := replace(t, page, "settings entry", keyTable(agatesettings.Keys[agatesettings.Entry]()))
 	want = replace(t, want, "settings control", keyTable(agatesettings.Keys[agatesettings.Control]()))
 	want = replace(t, want, "metrics", metricTable())
 	if flag.Lookup("update").Value.String() == "true" {
-		assert.NilError(t, os.WriteFile("operations.md", []byte(want), 0o644))
+		assert.NilError(t, os.WriteFile("OPERATIONS.md", []byte(want), 0o644))
 		return
 	}
 	assert.Equal(t, page, want)
@@ -73,7 +73,7 @@
 func TestCommands(t *testing.T) {
 	t.Chdir("..")
 	ran := 0
-	for _, page := range []string{"README.md", "docs/operations.md"} {
+	for _, page := range []string{"README.md", "docs/OPERATIONS.md"} {
 		data, err := os.ReadFile(page)
 		assert.NilError(t, err)
 		for line := range strings.Lines(string(data)) {
@@ -132,7 +132,7 @@
 		}
 	}
 	found := 0
-	for _, page := range []string{"../README.md", "operations.md"} {
+	for _, page := range []string{"../README.md", "OPERATIONS.md"} {
 		data, err := os.ReadFile(page)
 		assert.NilError(t, err)
 		for line := range strings.Lines(string(data)) {
@@ -174,7 +174,7 @@
 
 // Every line that a package writes must be explained to operators.
 func TestLogLines(t *testing.T) {
-	page, err := os.ReadFile("operations.md")
+	page, err := os.ReadFile("OPERATIONS.md")
 	assert.NilError(t, err)
 	line := regexp.MustCompile(`\.(?:Info|Warn|Error|placed)\("([^"]+)"`)
 	found := 0
@@ -197,7 +197,7 @@
 func TestCommandsExist(t *testing.T) {
 	t.Chdir("..")
 	seen := make(map[string]bool)
-	for _, page := range []string{"README.md", "docs/operations.md", "docs/api.md"} {
+	for _, page := range []string{"README.md", "docs/OPERATIONS.md", "docs/api.md"} {
 		data, err := os.ReadFile(page)
 		assert.NilError(t, err)
 		for line := range strings.Lines(string(data)) {
--- a/io/agatefront/conn.go
+++ b/io/agatefront/conn.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		if f.conns.len() >= f.cfg.Connections {
-			f.counts.turned.Add(1)
+			f.counts.turned("connections")
 			_ = nc.Close()
 			continue
 		}
@@ -327,7 +327,7 @@
 	}
 	x.reply = reply{status: status, reason: "unreadable"}
 	close(x.done)
-	c.f.counts.unreadable.Add(1)
+	c.f.counts.turned("unreadable")
 	c.f.log.Warn("request not read", "kind", "unreadable", "status", status, "caller", c.nc.RemoteAddr().String())
 	if c.take(x) {
 		c.watch()
--- a/io/agatefront/counts.go
+++ b/io/agatefront/counts.go
@@ -1,33 +1,66 @@
 package agatefront
 
 import (
-	"sync/atomic"
 	"time"
 
 	"agategate/io/agatemetrics"
 )
 
-// counts are the host's counters since its start.
+// counts publishes what the host does.
 type counts struct {
-	requests   atomic.Int64
-	retries    atomic.Int64
-	unreadable atomic.Int64
-	turned     atomic.Int64 // connections beyond the bound
-	served     atomic.Int64
-	refused    atomic.Int64
-	failed     atomic.Int64
+	set *agatemetrics.Set
 }
 
-func (c *counts) publish(*agatemetrics.Set) {}
+// newCounts declares the metrics of an entry host. Those of its state are
+// computed when they are read.
+func newCounts(f *Front) counts {
+	set := f.cfg.Metrics
+	if set == nil {
+		set = agatemetrics.New(agatemetrics.Config{})
+	}
+	set.Declare("entry")
+	set.Func(agatemetrics.Connections, func() any { return f.conns.len() })
+	set.Func(agatemetrics.Revision, func() any { return f.link.revision() })
+	set.Func(agatemetrics.Upstreams, func() any { return f.upstreams(func(n *int, _ int) { *n++ }) })
+	set.Func(agatemetrics.Inflight, func() any { return f.upstreams(func(n *int, own int) { *n += own }) })
+	return counts{set: set}
+}
+
+// upstreams adds something up over the upstreams of each service.
+func (f *Front) upstreams(add func(n *int, inflight int)) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]int{}
+	for _, v := range f.table.Views(time.Now()) {
+		n := out[v.Row.Service]
+		add(&n, v.InFlight)
+		out[v.Row.Service] = n
+	}
+	return out
+}
+
+// retried counts a second attempt.
+func (c counts) retried(service string) { c.set.Counter(agatemetrics.Retries, service).Add(1) }
+
+// turned counts a request or connection that was refused unread.
+func (c counts) turned(reason string) { c.set.Counter(agatemetrics.Refused, reason).Add(1) }
 
 // answer counts one answer.
-func (c *counts) answer(r *reply, _ time.Duration) {
+func (c counts) answer(service string, r *reply, took time.Duration) {
+	if service == "" {
+		service = "none"
+	}
+	c.set.Counter(agatemetrics.Requests, service).Add(1)
 	switch {
-	case r.status < 400:
-		c.served.Add(1)
-	case promises(r.status):
-		c.refused.Add(1)
+	case promises(r.status) || (r.header == nil && r.status < 500):
+		c.set.Counter(agatemetrics.Refused, r.reason).Add(1)
+		return
+	case r.reason == reasonTimeout:
+		c.set.Counter(agatemetrics.Late, service).Add(1)
+	case r.header == nil:
+		c.set.Counter(agatemetrics.Unknown, service).Add(1)
 	default:
-		c.failed.Add(1)
+		c.set.Counter(agatemetrics.Answered, service).Add(1)
 	}
+	c.set.Histogram(agatemetrics.Latency, service).Record(took)
 }
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -106,8 +106,8 @@
 	// request that runs at most once. A longer time saves new connections, and
 	// risks an unknown outcome when the upstream closes it first.
 	actionLife = 5 * time.Second
-	// hostDescriptors is the part of an upstream's connections that this host
-	// may use while the number of hosts is not known.
+	// defaultShare is the number of connections to an upstream while the number
+	// of hosts is not known.
 	defaultShare = 32
 )
 
@@ -129,6 +129,8 @@
 	suspects *suspects
 	counts   counts
 	bodies   atomic.Int64
+	routine  limit // of log lines
+	others   limit
 	stopping atomic.Bool
 	drain    chan struct{} // closed when a planned stop begins
 
@@ -160,7 +162,7 @@
 		drain: make(chan struct{}),
 	}
 	f.suspects = newSuspects()
-	f.counts.publish(cfg.Metrics)
+	f.counts = newCounts(f)
 	f.pool = agateupstream.New(agateupstream.Config{
 		IdleAge:        idleUpstream,
 		ActionLife:     actionLife,
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -427,3 +427,12 @@
 	doc, err := agateplan.DecodeDocument(reply.Plan)
 	return doc, reply.Revision, err
 }
+
+// parseAddr returns the zero value for text that is no address.
+func parseAddr(text string) netip.AddrPort {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return addr
+}
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -34,6 +33,10 @@
 	planAgain = 500 * time.Millisecond
 )
 
+// reasonTimeout is the reason of an answer to a request whose time passed
+// while an upstream may still be at work.
+const reasonTimeout = "timeout"
+
 // job is one request in progress.
 type job struct {
 	f     *Front
@@ -63,7 +66,6 @@
 func (f *Front) run(c *conn, x *exchange) {
 	defer close(x.done)
 	j := &job{f: f, c: c, x: x, id: x.req.Header.Get(f.words.Request), path: requestPath(x.req)}
-	f.counts.requests.Add(1)
 	x.reply = j.answer()
 	f.finish(j)
 }
@@ -127,6 +129,7 @@
 		if final {
 			return r
 		}
+		j.logAttempt()
 		if r, final := j.again(); final {
 			return r
 		}
@@ -197,7 +200,7 @@
 	case j.failure != nil && (j.ran || j.route.Kind == agateplan.Safe):
 		return *j.failure
 	case j.ran && !time.Now().Before(j.limit):
-		return reply{status: http.StatusGatewayTimeout, reason: "timeout"}
+		return reply{status: http.StatusGatewayTimeout, reason: reasonTimeout}
 	case j.ran:
 		return reply{status: http.StatusBadGateway, reason: "answer lost"}
 	}
@@ -328,7 +331,7 @@
 		return reply{status: http.StatusBadGateway, reason: "caller left", close: true}, true
 	case j.ran && j.route.Kind == agateplan.Unsafe:
 		if !now.Before(j.limit) {
-			return reply{status: http.StatusGatewayTimeout, reason: "timeout"}, true
+			return reply{status: http.StatusGatewayTimeout, reason: reasonTimeout}, true
 		}
 		return reply{status: http.StatusBadGateway, reason: "answer lost"}, true
 	case j.limit.Sub(now) < leastLeft:
@@ -340,7 +343,7 @@
 	case j.attempts > 0 && !j.budget(now):
 		return j.giveUp(agatebalance.Decision{Reason: agatebalance.ReasonBudget}), true
 	}
-	j.f.counts.retries.Add(1)
+	j.f.counts.retried(j.ask.Service)
 	return reply{}, false
 }
 
@@ -386,39 +389,3 @@
 	waiting, err2 := strconv.Atoi(strings.TrimSpace(second))
 	return running, waiting, err1 == nil && err2 == nil && running >= 0 && waiting >= 0
 }
-
-// finish counts and logs a request.
-func (f *Front) finish(j *job) {
-	r := &j.x.reply
-	took := time.Since(j.x.at)
-	f.counts.answer(r, took)
-	routine := r.status < 400 && j.attempts <= 1
-	if routine && !f.log.IsDebug() {
-		return
-	}
-	line := f.log.Info
-	if routine {
-		line = f.log.Debug
-	}
-	name, version := "", uint64(0)
-	if j.route != nil {
-		name = j.route.Name
-	}
-	if j.plan != nil {
-		version = j.plan.Plan.Version
-	}
-	line("request", "kind", "request", "req", j.id, "route", name, "version", version, "service", j.ask.Service,
-		"choice", j.last.Upstream, "reason", string(j.last.Reason), "considered", j.last.Considered,
-		"expected", j.last.Expected.Round(time.Millisecond), "load", strconv.FormatFloat(j.last.Load, 'f', 1, 64),
-		"age", j.last.ReportAge.Round(time.Millisecond), "attempts", j.attempts, "unsent", j.unsent, "end", j.end,
-		"left", time.Until(j.limit).Round(time.Millisecond), "outcome", r.status, "text", r.reason,
-		"after", r.after.Round(time.Millisecond), "took", took.Round(time.Millisecond))
-}
-
-func parseAddr(text string) netip.AddrPort {
-	addr, err := netip.ParseAddrPort(text)
-	if err != nil {
-		return netip.AddrPort{}
-	}
-	return addr
-}
