--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -11,23 +11,16 @@
 )
 
 const (
-	// localBonus is what the hash of an upstream in this region counts less in
-	// the order of an object's upstreams: objects stay near where that is
-	// cheap, and a region with few upstreams still shares its objects with
-	// others.
-	localBonus = 0.25
-	// nearBonus prefers the same failure domain a little.
-	nearBonus = 0.02
 	// localTravel and farTravel stand in for the way to an upstream and back,
 	// in seconds, before a connection was opened.
 	localTravel = 0.004
 	farTravel   = 0.042
-	// orderCost is what the whole range of an object's order costs, in load per
-	// slot. The next upstream in the order is about a thirteenth of that
-	// further with a dozen upstreams, so it takes over when the one before it
-	// is fuller by about one and a half requests a slot: work on an object
-	// that is not known there takes the place of several on known ones.
-	orderCost = 20.0
+	// placeCost is what a place in an object's order costs on average, in load
+	// per slot: work on an object that is not known takes the place of several
+	// on known ones. Upstreams whose hashes are close stand closer.
+	placeCost = 2.0
+	// farCost is what another region costs a request without an object.
+	farCost = 0.25
 	// moveCost is what leaving an object's first upstream costs while all are
 	// idle, in load per slot, however near the next one is in the order: about
 	// the work on an object that is not known, which the first such request
@@ -119,6 +112,7 @@
 	s     *service
 	r     *Request
 	now   time.Time
+	bonus float64     // of the upstreams of this region, in places
 	list  []candidate // by cost
 	busy  int
 	cold  int
@@ -129,7 +123,7 @@
 // Choose decides about a request.
 func (t *Table) Choose(now time.Time, r *Request) Decision {
 	s := t.service(r.Service)
-	x := search{t: t, s: s, r: r, now: now, least: math.Inf(1)}
+	x := search{t: t, s: s, r: r, now: now, bonus: t.bonus(s), least: math.Inf(1)}
 	x.collect()
 	for _, last := range []bool{false, true} {
 		for i := range x.list {
@@ -192,24 +186,22 @@
 	c.load *= slow
 	c.time = u.way() + x.s.work.value*(slow+max(0, c.load-1))
 	c.order = x.order(u)
-	c.cost = c.load + orderCost*c.order
+	c.cost = c.load + placeCost*c.order
 	return c
 }
 
-// order is the place of an upstream in the order of the request's object. For
-// requests without an object only its place in the network counts.
+// order is the place of an upstream among those of the request's object, in
+// places on average. For requests without an object only its region counts.
 func (x *search) order(u *upstream) float64 {
-	order := 0.0
-	if x.r.Key != 0 {
-		order = keyScore(x.r.Key, u.row.ID)
-	} else if !u.local {
-		return nearBonus
+	if x.r.Key == 0 {
+		if u.local {
+			return 0
+		}
+		return farCost
 	}
+	order := keyScore(x.r.Key, u.row.ID) * float64(len(x.s.upstreams)+1)
 	if u.local {
-		order -= localBonus
-	}
-	if u.near {
-		order -= nearBonus
+		order -= x.bonus
 	}
 	return order
 }
--- a/core/agatebalance/policy_test.go
+++ b/core/agatebalance/policy_test.go
@@ -32,6 +32,13 @@
 	{with("burst", func(l *load) { l.rate = 400; l.burst = 1.5 }), 0.75},
 	{with("over", func(l *load) { l.rate = 760 }), 0.6},
 	{with("flood", func(l *load) { l.rate = 400; l.burst = 3 }), 0.5},
+	{with("wide", func(l *load) {
+		l.rate = 2750
+		l.objects = 342
+		l.upstreams = [3]int{24, 36, 12}
+		l.hosts = 30
+		l.length = 10 * time.Second
+	}), 0.75},
 	{with("slow", func(l *load) { l.rate = 400; l.slow = 3; l.slowBy = 8 }), 0.5},
 }
 
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -118,6 +118,9 @@
 	for _, id := range gone {
 		t.remove(id)
 	}
+	for _, s := range t.services {
+		s.bonusKnown = false
+	}
 	slices.Sort(gone)
 	return gone
 }
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -178,6 +178,9 @@
 type service struct {
 	name      string
 	upstreams []*upstream // by identity
-	work      quantile    // seconds
-	retries   bucket
+	// bonus is that of this region's upstreams for the fleet as it is.
+	bonus      float64
+	bonusKnown bool
+	work       quantile // seconds
+	retries    bucket
 }
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -70,6 +70,9 @@
 	// Seeds returns the replicas to ask for the group; it may change while the
 	// process runs. The default is Settings.Members.
 	Seeds func() []agatesettings.Member
+	// Heartbeat is the interval of the quorum's heartbeats. The default is that
+	// of agatequorum.
+	Heartbeat time.Duration
 	// Heal lets the group admit replicas, remove dead ones and take back
 	// removed ones without an operator.
 	Heal bool
@@ -244,6 +247,7 @@
 		},
 		SaveSnapshot:  c.store.SaveSnapshot,
 		SnapshotEvery: c.cfg.Settings.Snapshot,
+		Heartbeat:     c.cfg.Heartbeat,
 		Logger:        c.log.Named("replica"),
 	}
 }
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 const (
 	// watchBeat is the interval of a replica's heartbeats on a watch stream.
 	watchBeat = 500 * time.Millisecond
+	// watchRest is the number of heartbeats after which a host that follows
+	// other replicas is sent one; it only has to know that this one lives.
+	watchRest = 2
 	// watchGather is how long a change waits for others that go into the same
 	// message.
 	watchGather = 20 * time.Millisecond
@@ -70,6 +74,10 @@
 	stream grpc.BidiStreamingServer[agatewire.WatchAsk, agatewire.WatchReply]
 	asks   chan *agatewire.WatchAsk
 	ask    *agatewire.WatchAsk
+	// hosts and replicas are the names and addresses that were sent last; they
+	// are sent again when they change.
+	hosts    []string
+	replicas []string
 	// fleet and suspects are the log indexes up to which the host knows all.
 	fleet    uint64
 	suspects uint64
@@ -112,6 +120,10 @@
 // or of the process.
 func (w *watch) pause(ctx context.Context, beat <-chan time.Time, woken <-chan struct{}) bool {
 	gather := (<-chan time.Time)(nil)
+	rest := 1
+	if !w.follow {
+		rest = watchRest
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -131,7 +143,9 @@
 		case <-gather:
 			return true
 		case <-beat:
-			return true
+			if rest--; rest <= 0 || w.follow {
+				return true
+			}
 		}
 	}
 }
@@ -158,12 +172,22 @@
 	if r := c.replica.Load(); r != nil {
 		st := r.Status()
 		reply.Synced = st.Leader != 0
+		var replicas []string
 		for _, m := range st.Members {
-			reply.Replicas = append(reply.Replicas, m.Address.String())
+			replicas = append(replicas, m.Address.String())
+		}
+		if !slices.Equal(replicas, w.replicas) {
+			w.replicas = replicas
+			reply.Replicas = replicas
 		}
 	}
+	var hosts []string
 	for _, h := range c.presence.live(time.Now()) {
-		reply.Hosts = append(reply.Hosts, h.name)
+		hosts = append(hosts, h.name)
+	}
+	if !slices.Equal(hosts, w.hosts) {
+		w.hosts = hosts
+		reply.Hosts = hosts
 	}
 	if !w.follow {
 		return reply
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -19,11 +19,12 @@
 	// beatEvery is the interval of heartbeats to each control replica.
 	beatEvery = 500 * time.Millisecond
 	// silentAfter is how long a replica may be silent before its stream is
-	// opened anew: three of its heartbeats.
-	silentAfter = 1600 * time.Millisecond
+	// opened anew: more than two of the heartbeats that it sends to a host that
+	// does not follow it, one a second.
+	silentAfter = 2200 * time.Millisecond
 	// currentAfter is how old the last heartbeat of a replica may be for its
 	// changes to be followed.
-	currentAfter = 1200 * time.Millisecond
+	currentAfter = 1300 * time.Millisecond
 	// followed is the number of replicas whose changes are followed: one may
 	// fall silent unnoticed for a second.
 	followed = 2
@@ -304,7 +305,9 @@
 	}
 	l.synced = now
 	l.setMembers(reply.Replicas)
-	l.setHosts(reply.Hosts)
+	if len(reply.Hosts) > 0 {
+		l.setHosts(reply.Hosts)
+	}
 	l.f.suspects.merge(reply)
 	if reply.Delta && (reply.Fleet > l.fleet || !l.has) {
 		l.setFleet(now, reply)
