--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -96,28 +96,27 @@
 // not known any more. It returns the upstreams that are gone.
 func (t *Table) SetFleet(now time.Time, rows []Row, whole bool, evacuated []string) (gone []string) {
 	t.evacuated = evacuated
-	seen := map[string]bool{}
+	left := map[string]bool{}
+	if whole {
+		for id := range t.upstreams {
+			left[id] = true
+		}
+	}
 	for i := range rows {
 		r := &rows[i]
 		if r.Gone {
+			left[r.ID] = t.upstreams[r.ID] != nil
 			continue
 		}
-		seen[r.ID] = true
+		delete(left, r.ID)
 		t.setRow(now, r)
 	}
-	for id := range t.upstreams {
-		if whole && !seen[id] {
+	for id, known := range left {
+		if known {
+			t.remove(id)
 			gone = append(gone, id)
 		}
 	}
-	for i := range rows {
-		if rows[i].Gone && t.upstreams[rows[i].ID] != nil && !seen[rows[i].ID] {
-			gone = append(gone, rows[i].ID)
-		}
-	}
-	for _, id := range gone {
-		t.remove(id)
-	}
 	for _, s := range t.services {
 		s.bonusKnown = false
 	}
