--- a/core/agatestate/codec.go
+++ b/core/agatestate/codec.go
@@ -137,6 +137,7 @@
 		Draining bool           `cbor:"8,keyasint,omitempty"`
 		Gone     bool           `cbor:"9,keyasint,omitempty"`
 		Cold     time.Duration  `cbor:"10,keyasint,omitempty"`
+		Lapsed   bool           `cbor:"11,keyasint,omitempty"`
 	}
 	wireEvacuate struct {
 		Domain string `cbor:"1,keyasint"`
--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -39,6 +39,9 @@
 	Gone bool
 	// Cold is how much longer it stays cold, counted from the command.
 	Cold time.Duration
+	// Lapsed, with Gone, means that it was given up on for its silence. A later
+	// announcement of the same process brings it back.
+	Lapsed bool
 }
 
 // newer reports whether u was announced after old by the same upstream.
@@ -165,13 +168,14 @@
 			return false, true
 		}
 		old.up.Gone = true
+		old.up.Lapsed = up.Lapsed
 		m.touch(old)
 		return true, true
 	}
 	if old != nil && !up.newer(&old.up) {
 		return false, true
 	}
-	if old != nil && old.up.Gone && old.up.Born == up.Born {
+	if old != nil && old.up.Gone && !old.up.Lapsed && old.up.Born == up.Born {
 		return false, true // a delayed announcement of a process that left
 	}
 	holder := f.addresses[up.Address]
@@ -180,6 +184,7 @@
 			return false, true // a later process has the address
 		}
 		holder.up.Gone = true
+		holder.up.Lapsed = false
 		m.touch(holder)
 	}
 	if old == nil {
--- a/core/agatestate/script_test.go
+++ b/core/agatestate/script_test.go
@@ -85,6 +85,7 @@
 		Draining: a.or("draining", "false") == "true",
 		Gone:     a.or("gone", "false") == "true",
 		Cold:     a.duration("cold", "0s"),
+		Lapsed:   a.or("lapsed", "false") == "true",
 	}
 }
 
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -95,6 +95,7 @@
 	presence presence
 	changed  signal
 	heardAt  memberTimes
+	heardUp  heardTimes
 	time     stateTime
 	accepted acceptedTimes
 	granter  granter
@@ -225,6 +226,9 @@
 	c.duties.Go(func() { c.every(expireEvery, c.expire) })
 	c.duties.Go(func() { c.every(repairEvery, c.repair) })
 	c.duties.Go(func() { c.every(sweepEvery, c.sweep) })
+	if c.cfg.Heal {
+		c.duties.Go(func() { c.every(lapseEvery, c.lapse) })
+	}
 	if c.cfg.Heal || (saved.Fresh && len(bootstrap) == 0) {
 		c.duties.Go(func() { c.every(joinEvery, c.join) })
 	}
--- a/io/agatecontrol/fleet.go
+++ b/io/agatecontrol/fleet.go
@@ -64,6 +64,9 @@
 // must announce it again, here or at another replica.
 func (c *Control) Announce(ctx context.Context, up agatestate.Upstream) error {
 	known, ok := c.machine.Upstream(up.ID)
+	if !up.Gone {
+		c.heardUp.note(up.ID, time.Now())
+	}
 	if ok && !changed(&known, &up) {
 		if c.replica.Load().Status().Leader == 0 {
 			return errNoLeader
@@ -91,7 +94,7 @@
 		return false
 	}
 	if known.Gone && up.Born == known.Born {
-		return false
+		return known.Lapsed
 	}
 	same := up.Born == known.Born && up.Service == known.Service && up.Address == known.Address &&
 		up.Domain == known.Domain && up.Slots == known.Slots && up.Draining == known.Draining && up.Gone == known.Gone
