--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -83,10 +83,13 @@
 	Address  netip.AddrPort
 	Region   string
 	Reason   Reason
+	// First is the upstream that costs least, which is the chosen one if it has
+	// room. The next three fields describe the chosen one, or First without one.
+	First string
 	// Expected is the expected time to the answer.
 	Expected time.Duration
-	// Load is the estimated load of the chosen upstream per slot, ReportAge how old the
-	// report behind it is; zero means that there is none.
+	// Load is the estimated load per slot, ReportAge how old the report behind
+	// it is; zero means that there is none.
 	Load      float64
 	ReportAge time.Duration
 	// Considered is the number of upstreams that were compared.
@@ -180,7 +183,7 @@
 
 func (x *search) candidate(u *upstream) candidate {
 	c := candidate{u: u, load: u.load(x.now) / u.slots()}
-	c.bad = x.now.Before(u.ejectedUntil) || u.failing.mean > failSkip
+	c.bad = x.now.Before(u.ejectedUntil) || u.failing.mean > failSkip || u.silent(x.now)
 	slow := u.slowness(x.now, x.s)
 	// A slow upstream has, in effect, fewer slots.
 	c.load *= slow
@@ -275,13 +278,9 @@
 		Address:    c.u.row.Address,
 		Region:     c.u.region,
 		Reason:     ReasonNext,
-		Expected:   seconds(c.time),
-		Load:       c.load,
 		Considered: len(x.list),
 	}
-	if !c.u.reportAt.IsZero() {
-		d.ReportAge = x.now.Sub(c.u.reportAt)
-	}
+	x.explain(&d, c)
 	switch {
 	case c.bad:
 		d.Reason = ReasonLast
@@ -293,8 +292,21 @@
 	return d
 }
 
+// explain notes the evidence behind a decision.
+func (x *search) explain(d *Decision, c *candidate) {
+	d.First = x.list[0].u.row.ID
+	d.Expected = seconds(c.time)
+	d.Load = c.load
+	if !c.u.reportAt.IsZero() {
+		d.ReportAge = x.now.Sub(c.u.reportAt)
+	}
+}
+
 func (x *search) refuse() Decision {
 	d := Decision{Reason: ReasonNone, Considered: len(x.list), RetryAfter: retryMost}
+	if len(x.list) > 0 {
+		x.explain(&d, &x.list[0])
+	}
 	switch {
 	case x.busy > 0:
 		d.Reason = ReasonBusy
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -55,6 +55,9 @@
 	// Draining and Gone upstreams get no new work.
 	Draining bool
 	Gone     bool
+	// Lapsed ones are not heard by the control group; they are used while they
+	// answer this host.
+	Lapsed bool
 	// Cold is how much longer the upstream is cold.
 	Cold time.Duration
 	// Born is the start of its process in Unix milliseconds.
--- a/core/agatebalance/table_test.go
+++ b/core/agatebalance/table_test.go
@@ -154,3 +154,21 @@
 	assert.Equal(t, d.Upstream, first)
 	assert.Equal(t, d.Reason, agatebalance.ReasonLast)
 }
+
+// Guards against the loss of upstreams that are cut off from the control group
+// only, and against requests that lose time on those that are dead.
+func TestLapsedUpstreamIsUsedWhileItAnswers(t *testing.T) {
+	now := time.Unix(1, 0)
+	table := newTable()
+	table.SetFleet(now, []agatebalance.Row{row("u1"), row("u2")}, true, nil)
+	first := choose(table, now, nil).Upstream
+	lapsed := row(first)
+	lapsed.Lapsed = true
+	answered := agatebalance.Observation{Outcome: agatebalance.Answered, Latency: 10 * time.Millisecond}
+	table.Start(now, first)
+	table.Finish(now, first, answered)
+	table.SetFleet(now, []agatebalance.Row{lapsed}, false, nil)
+	assert.Equal(t, choose(table, now.Add(time.Second), nil).Upstream, first)
+	later := now.Add(10 * time.Second)
+	assert.Assert(t, choose(table, later, nil).Upstream != first)
+}
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -37,6 +37,9 @@
 	// firstWork stands in for the work time before there are answers, in
 	// seconds.
 	firstWork = 0.08
+	// lapsedUse is how long after its last answer an upstream that the control
+	// group does not hear is used like the others.
+	lapsedUse = 3 * time.Second
 	// coldHosts is the number of hosts that may send to a cold upstream. More
 	// would each get less than a request a second.
 	coldHosts = 4
@@ -137,6 +140,12 @@
 	return 1 + (ratio-1)*math.Exp(-now.Sub(u.workAt).Seconds()/ratioLife.Seconds())
 }
 
+// silent reports whether neither the control group nor this host heard from
+// the upstream lately.
+func (u *upstream) silent(now time.Time) bool {
+	return u.row.Lapsed && now.Sub(u.workAt) > lapsedUse
+}
+
 // failed counts a failure and ejects the upstream after some in a row.
 func (u *upstream) failed(now time.Time, weight float64, sure bool) {
 	u.failing.add(weight, failWindow)
--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -39,8 +39,9 @@
 	Gone bool
 	// Cold is how much longer it stays cold, counted from the command.
 	Cold time.Duration
-	// Lapsed, with Gone, means that it was given up on for its silence. A later
-	// announcement of the same process brings it back.
+	// Lapsed, with Gone, means that it was given up on for its silence. Hosts
+	// to which it still answers go on to use it, and a later announcement of
+	// the same process brings it back.
 	Lapsed bool
 }
 
@@ -82,7 +83,7 @@
 // fleet is the upstreams and the failure domains that are evacuated.
 type fleet struct {
 	rows      map[string]*fleetRow
-	addresses map[netip.AddrPort]*fleetRow // of rows that are not gone
+	addresses map[netip.AddrPort]*fleetRow // of rows that are not gone for good
 	evacuated []string                     // sorted
 	index     uint64                       // of the last change
 	dropped   uint64                       // highest index of a forgotten row
@@ -209,7 +210,7 @@
 	row.index = m.index
 	row.at = m.now
 	m.fleet.index = m.index
-	if row.up.Gone && m.fleet.addresses[row.up.Address] == row {
+	if row.up.Gone && !row.up.Lapsed && m.fleet.addresses[row.up.Address] == row {
 		delete(m.fleet.addresses, row.up.Address)
 	}
 }
@@ -218,7 +219,13 @@
 func (m *Machine) dropGone() {
 	f := &m.fleet
 	for id, row := range f.rows {
-		if row.up.Gone && m.now-row.at > millis(goneAge) {
+		if !row.up.Gone || m.now-row.at <= millis(goneAge) {
+			continue
+		}
+		if row.up.Lapsed {
+			row.up.Lapsed = false // hosts are told that it is gone for good
+			m.touch(row)
+		} else {
 			f.dropped = max(f.dropped, row.index)
 			delete(f.rows, id)
 		}
--- a/core/agatestate/script_test.go
+++ b/core/agatestate/script_test.go
@@ -250,6 +250,8 @@
 	for _, u := range d.Upstreams {
 		s += " " + u.ID
 		switch {
+		case u.Lapsed:
+			s += ":lapsed"
 		case u.Gone:
 			s += ":gone"
 		case u.Draining:
--- a/core/agatestate/snapshot.go
+++ b/core/agatestate/snapshot.go
@@ -304,7 +304,7 @@
 func (m *Machine) restoreRow(w snapRow) error {
 	row := &fleetRow{Upstream(w.Upstream), w.Index, w.At}
 	m.fleet.rows[row.up.ID] = row
-	if !row.up.Gone {
+	if !row.up.Gone || row.up.Lapsed {
 		m.fleet.addresses[row.up.Address] = row
 	}
 	return nil
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -225,7 +225,8 @@
 		Domain:   u.Domain,
 		Slots:    int32(min(u.Slots, 1<<20)),
 		Draining: u.Draining,
-		Gone:     u.Gone,
+		Gone:     u.Gone && !u.Lapsed,
+		Lapsed:   u.Lapsed,
 		Cold:     u.Cold.Milliseconds(),
 		Born:     u.Born,
 	}
--- a/io/agatefront/counts.go
+++ b/io/agatefront/counts.go
@@ -32,6 +32,9 @@
 	defer f.mu.Unlock()
 	out := map[string]int{}
 	for _, v := range f.table.Views(time.Now()) {
+		if v.Row.Lapsed {
+			continue
+		}
 		n := out[v.Row.Service]
 		add(&n, v.InFlight)
 		out[v.Row.Service] = n
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -368,11 +368,12 @@
 			Slots:    int(u.Slots),
 			Draining: u.Draining,
 			Gone:     u.Gone,
+			Lapsed:   u.Lapsed,
 			Cold:     time.Duration(u.Cold) * time.Millisecond,
 			Born:     u.Born,
 		})
 		f.log.Info("upstream", "kind", "upstream", "choice", u.Id, "service", u.Service, "address", u.Address,
-			"draining", u.Draining, "gone", u.Gone, "cold", u.Cold, "index", reply.Fleet)
+			"draining", u.Draining, "gone", u.Gone, "lapsed", u.Lapsed, "cold", u.Cold, "index", reply.Fleet)
 	}
 	f.mu.Lock()
 	gone := f.table.SetFleet(now, rows, reply.Whole, reply.Evacuated)
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -78,7 +78,7 @@
 	}
 	return []any{
 		"req", j.id, "route", name, "version", version, "service", j.ask.Service,
-		"choice", j.last.Upstream, "reason", string(j.last.Reason), "considered", j.last.Considered,
+		"choice", j.last.Upstream, "first", j.last.First, "reason", string(j.last.Reason), "considered", j.last.Considered,
 		"expected", j.last.Expected.Round(time.Millisecond), "load", strconv.FormatFloat(j.last.Load, 'f', 1, 64),
 		"age", j.last.ReportAge.Round(time.Millisecond), "attempts", j.attempts, "unsent", j.unsent, "end", j.end,
 		"left", j.limit.Sub(now).Round(time.Millisecond),
--- a/io/agatelink/link.go
+++ b/io/agatelink/link.go
@@ -52,6 +52,10 @@
 	// idleLimit closes a server's connection on which no call was open.
 	idleLimit = 10 * time.Minute
 	handshake = 2 * time.Second
+	// connectTime bounds one attempt to connect. It is shorter than the second
+	// after which the kernel sends a lost first packet again, and than the wait
+	// for a host that is just coming up.
+	connectTime = 400 * time.Millisecond
 )
 
 // Config sets up a Dialer.
@@ -80,7 +84,7 @@
 // NewDialer returns a Dialer without connections.
 func NewDialer(cfg Config) *Dialer {
 	if cfg.Dial == nil {
-		nd := agatesocket.Dialer(agatesocket.Config{})
+		nd := agatesocket.Dialer(agatesocket.Config{Connect: connectTime})
 		cfg.Dial = func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 			return nd.DialContext(ctx, "tcp", addr.String())
 		}
