agatefront, agatestate: an answer clears a suspect, and a refusal ends

Hosts that saw it answered now say so, and a refusal ends 30 s after the last death, which is the time to come back that callers are told.

--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -19,7 +19,7 @@
 	// overload it falls to excessLeast: what queues at upstreams then is late
 	// and counts as admitted beyond the capacity.
 	excess      = 2.5
-	excessLeast = 1.8
+	excessLeast = 1.6
 
 	// pressureFrom and pressureFull are the shares of requests, refused or
 	// shifted, from which and at which overload counts as lasting.
@@ -31,7 +31,7 @@
 
 	// partSlack is how much a host may exceed its part of the requests in
 	// flight while the total is within the limit.
-	partSlack = 1.5
+	partSlack = 2.0
 
 	// slowFrom is the ratio to the usual latency from which an upstream counts
 	// as slower. Below it, the difference is within the noise of the mean.
--- a/core/agatestate/codec.go
+++ b/core/agatestate/codec.go
@@ -51,6 +51,7 @@
 		Limits    *wireLimits    `cbor:"11,keyasint,omitempty"`
 		Announce  *wireAnnounce  `cbor:"12,keyasint,omitempty"`
 		Evacuate  *wireEvacuate  `cbor:"13,keyasint,omitempty"`
+		Absolve   *wireAbsolve   `cbor:"14,keyasint,omitempty"`
 	}
 	wireConfigure struct {
 		Change   string `cbor:"1,keyasint"`
@@ -139,6 +140,9 @@
 		Cold     time.Duration  `cbor:"10,keyasint,omitempty"`
 		Lapsed   bool           `cbor:"11,keyasint,omitempty"`
 	}
+	wireAbsolve struct {
+		Prints []Fingerprint `cbor:"1,keyasint"`
+	}
 	wireEvacuate struct {
 		Domain string `cbor:"1,keyasint"`
 		On     bool   `cbor:"2,keyasint,omitempty"`
@@ -170,6 +174,7 @@
 		Settle:    (*wireSettle)(c.Settle),
 		Limits:    (*wireLimits)(c.Limits),
 		Evacuate:  (*wireEvacuate)(c.Evacuate),
+		Absolve:   (*wireAbsolve)(c.Absolve),
 	}
 	if f := c.Finish; f != nil {
 		w.Finish = &wireFinish{Service: f.Service, Key: f.Key, Token: f.Token, Answer: *toWire(&f.Answer)}
@@ -201,6 +206,7 @@
 		Settle:    (*Settle)(w.Settle),
 		Limits:    (*Limits)(w.Limits),
 		Evacuate:  (*Evacuate)(w.Evacuate),
+		Absolve:   (*Absolve)(w.Absolve),
 	}
 	if f := w.Finish; f != nil {
 		c.Finish = &Finish{Service: f.Service, Key: f.Key, Token: f.Token, Answer: *fromWire(&f.Answer)}
@@ -253,6 +259,7 @@
 	count(c.Limits != nil, c.Limits.valid)
 	count(c.Announce != nil, c.Announce.valid)
 	count(c.Evacuate != nil, c.Evacuate.valid)
+	count(c.Absolve != nil, c.Absolve.valid)
 	return sets == 1 && good == 1
 }
 
--- a/core/agatestate/command.go
+++ b/core/agatestate/command.go
@@ -42,6 +42,7 @@
 	Limits    *Limits
 	Announce  *Announce
 	Evacuate  *Evacuate
+	Absolve   *Absolve
 }
 
 // Configure replaces the configuration document if Base is the revision in
@@ -156,6 +157,13 @@
 	Outcome Outcome
 }
 
+// Absolve clears fingerprints that an upstream has answered, whatever their
+// deaths: a request that crashes upstreams is never answered. Verdict:
+// Counted, with Count set to the fingerprints that changed.
+type Absolve struct {
+	Prints []Fingerprint
+}
+
 // fieldOverhead is the size counted for a header line besides its text.
 const fieldOverhead = 32
 
@@ -195,6 +203,8 @@
 	return name(c.Upstream) && len(c.Host) <= MaxName && len(c.Prints) <= MaxPrints
 }
 
+func (c *Absolve) valid() bool { return len(c.Prints) > 0 && len(c.Prints) <= MaxPrints }
+
 func (c *Probe) valid() bool {
 	return name(c.Upstream) && name(c.Holder) && c.Token != (Token{}) &&
 		c.Timeout > 0 && c.Timeout <= MaxDeadline
--- a/core/agatestate/machine.go
+++ b/core/agatestate/machine.go
@@ -192,6 +192,8 @@
 		return m.announce(c.Announce)
 	case c.Evacuate != nil:
 		return m.evacuate(c.Evacuate)
+	case c.Absolve != nil:
+		return m.absolve(c.Absolve)
 	default:
 		m.setLimits(*c.Limits)
 		return Result{Verdict: Accepted}
--- a/core/agatestate/script_test.go
+++ b/core/agatestate/script_test.go
@@ -120,6 +120,8 @@
 			Host: a.or("host", "h"), Upstream: a["upstream"],
 			Incarnation: uint64(a.number("incarnation", 1)), Prints: a.prints(),
 		}}
+	case "absolve":
+		return agatestate.Command{Absolve: &agatestate.Absolve{Prints: a.prints()}}
 	case "probe":
 		return agatestate.Command{Probe: &agatestate.Probe{
 			Print: a.prints()[0], Upstream: a["upstream"], Incarnation: uint64(a.number("incarnation", 1)),
--- a/core/agatestate/suspect.go
+++ b/core/agatestate/suspect.go
@@ -130,6 +130,22 @@
 	return Result{Verdict: Counted, Count: changed}
 }
 
+func (m *Machine) absolve(c *Absolve) Result {
+	changed := 0
+	for _, p := range c.Prints {
+		s := m.suspects.prints[p]
+		if s == nil || s.deaths == 0 {
+			continue
+		}
+		if s.probe != nil {
+			m.endProbe(s)
+		}
+		m.setDeaths(s, 0)
+		changed++
+	}
+	return Result{Verdict: Counted, Count: changed}
+}
+
 // addSuspect returns a new fingerprint without deaths, or nil when there is
 // no room. Cleared ones give way; suspects are never dropped early.
 func (m *Machine) addSuspect(p Fingerprint) *suspect {
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -308,7 +308,7 @@
 	if len(reply.Hosts) > 0 {
 		l.setHosts(reply.Hosts)
 	}
-	l.f.suspects.merge(reply)
+	l.f.absolve(l.f.suspects.merge(now, reply))
 	if reply.Delta && (reply.Fleet > l.fleet || !l.has) {
 		l.setFleet(now, reply)
 	}
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -27,8 +27,6 @@
 	unsentMost = 3
 	// leastLeft is the time left below which no attempt is worth a start.
 	leastLeft = 5 * time.Millisecond
-	// refusedAgain is when a request that crashes upstreams may come back.
-	refusedAgain = 30 * time.Second
 	// planAgain is when a caller may come back to a host without a plan.
 	planAgain = 500 * time.Millisecond
 )
@@ -112,8 +110,8 @@
 		return reply{status: http.StatusServiceUnavailable, after: planAgain, reason: "caller left", close: true}
 	}
 	j.print = agatesuspect.Print("", j.x.req.Method, j.path, "", j.x.body)
-	if j.f.suspects.refused(j.print) {
-		return reply{status: http.StatusServiceUnavailable, after: refusedAgain, reason: "crashes upstreams"}
+	if after := j.f.suspects.refused(time.Now(), j.print); after > 0 {
+		return reply{status: http.StatusServiceUnavailable, after: after, reason: "crashes upstreams"}
 	}
 	for first := true; ; first = false {
 		if !first {
@@ -338,7 +336,7 @@
 		return j.giveUp(agatebalance.Decision{Reason: agatebalance.ReasonLate}), true
 	case j.attempts >= j.route.Attempts || j.unsent >= unsentMost:
 		return j.giveUp(agatebalance.Decision{Reason: agatebalance.ReasonBusy}), true
-	case j.f.suspects.refused(j.print):
+	case j.f.suspects.refused(now, j.print) > 0:
 		return j.giveUp(agatebalance.Decision{Reason: agatebalance.ReasonNone}), true
 	case j.attempts > 0 && !j.budget(now):
 		return j.giveUp(agatebalance.Decision{Reason: agatebalance.ReasonBudget}), true
--- a/io/agatefront/suspects.go
+++ b/io/agatefront/suspects.go
@@ -17,6 +17,13 @@
 	reportTime = 3 * time.Second
 	// answeredMost bounds the fingerprints that are known to be harmless.
 	answeredMost = 32768
+	// refusedFor is how long a request is refused after the last death that it
+	// is held to have caused. An upstream that dies of something else twice
+	// with a request in flight must not end its service for good.
+	refusedFor = 30 * time.Second
+	// absolveAgain is how long a host waits before it states once more that a
+	// request is harmless.
+	absolveAgain = 2 * time.Second
 )
 
 // suspects is what this host knows of requests that crash upstreams. It is
@@ -25,21 +32,38 @@
 	mu       sync.Mutex
 	tracker  *agatesuspect.Tracker
 	answered map[agatesuspect.Fingerprint]struct{}
+	// blamed is when this host learned of the last death of a request, and
+	// stated when it last told the control group that one is harmless.
+	blamed map[agatesuspect.Fingerprint]time.Time
+	stated map[agatesuspect.Fingerprint]time.Time
 }
 
 func newSuspects() *suspects {
 	return &suspects{
 		tracker:  agatesuspect.New(agatesuspect.Config{}),
 		answered: make(map[agatesuspect.Fingerprint]struct{}),
+		blamed:   make(map[agatesuspect.Fingerprint]time.Time),
+		stated:   make(map[agatesuspect.Fingerprint]time.Time),
 	}
 }
 
-// refused reports whether a request must not run, because upstreams died of
-// it.
-func (s *suspects) refused(p agatesuspect.Fingerprint) bool {
+// refused returns for how much longer a request must not run, because
+// upstreams died of it. Zero means that it may run.
+func (s *suspects) refused(now time.Time, p agatesuspect.Fingerprint) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tracker.Check(p) == agatesuspect.Refused
+	if _, harmless := s.answered[p]; harmless || s.tracker.Check(p) != agatesuspect.Refused {
+		return 0
+	}
+	return max(0, s.blamed[p].Add(refusedFor).Sub(now))
+}
+
+// blame notes the time of a death. The caller holds mu.
+func (s *suspects) blame(now time.Time, p agatesuspect.Fingerprint) {
+	if len(s.blamed) >= answeredMost {
+		clear(s.blamed)
+	}
+	s.blamed[p] = now
 }
 
 // running notes a request at an upstream, and returns what ends the note.
@@ -66,19 +90,24 @@
 
 // died returns the requests that were in flight at an upstream, but for those
 // that an upstream has answered before.
-func (s *suspects) died(upstream string) []agatesuspect.Fingerprint {
+func (s *suspects) died(now time.Time, upstream string) []agatesuspect.Fingerprint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.DeleteFunc(s.tracker.Died(upstream), func(p agatesuspect.Fingerprint) bool {
+	prints := slices.DeleteFunc(s.tracker.Died(upstream), func(p agatesuspect.Fingerprint) bool {
 		_, harmless := s.answered[p]
 		return harmless
 	})
+	for _, p := range prints {
+		s.blame(now, p)
+	}
+	return prints
 }
 
-// merge takes the control group's records.
-func (s *suspects) merge(reply *agatewire.WatchReply) {
+// merge takes the control group's records. It returns those requests among
+// them that an upstream has answered, which the group is to be told.
+func (s *suspects) merge(now time.Time, reply *agatewire.WatchReply) (harmless []agatestate.Fingerprint) {
 	if len(reply.Suspects) == 0 && reply.Index == 0 {
-		return
+		return nil
 	}
 	list := make([]agatesuspect.Record, 0, len(reply.Suspects))
 	for _, w := range reply.Suspects {
@@ -92,7 +121,28 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, r := range list {
+		if r.Deaths == 0 {
+			continue
+		}
+		s.blame(now, r.Print)
+		if _, answered := s.answered[r.Print]; answered && now.Sub(s.stated[r.Print]) > absolveAgain {
+			s.stated[r.Print] = now
+			harmless = append(harmless, statePrint(r.Print))
+		}
+	}
+	if len(s.stated) >= answeredMost {
+		clear(s.stated)
+	}
 	s.tracker.Merge(list, reply.Index)
+	return harmless
+}
+
+// statePrint is a fingerprint as the control group stores it.
+func statePrint(p agatesuspect.Fingerprint) agatestate.Fingerprint {
+	var out agatestate.Fingerprint
+	copy(out[:], p[:])
+	return out
 }
 
 func (s *suspects) index() uint64 {
@@ -104,24 +154,35 @@
 // report tells the control group which requests were in flight at an upstream
 // that died.
 func (f *Front) report(upstream string) {
-	prints := f.suspects.died(upstream)
+	prints := f.suspects.died(time.Now(), upstream)
 	if len(prints) == 0 {
 		return
 	}
 	death := &agatestate.Death{Host: f.cfg.Name, Upstream: upstream}
 	for _, p := range prints {
-		var print agatestate.Fingerprint
-		copy(print[:], p[:])
-		death.Prints = append(death.Prints, print)
+		death.Prints = append(death.Prints, statePrint(p))
 	}
 	f.log.Warn("upstream died", "kind", "suspect", "choice", upstream, "prints", len(prints), "first", prints[0])
+	f.submit(agatestate.Command{Death: death})
+}
+
+// absolve tells the control group which suspects an upstream has answered.
+func (f *Front) absolve(prints []agatestate.Fingerprint) {
+	if len(prints) == 0 {
+		return
+	}
+	f.log.Info("suspects are harmless", "kind", "suspect", "prints", len(prints))
+	f.submit(agatestate.Command{Absolve: &agatestate.Absolve{Prints: prints}})
+}
+
+// submit hands a command to the control group, in the background.
+func (f *Front) submit(cmd agatestate.Command) {
 	f.duties.Go(func() {
 		ctx, cancel := context.WithTimeout(f.ctx, reportTime)
 		defer cancel()
 		client := agateclient.New(agateclient.Config{Replicas: f.link.replicas(), Dialer: f.dialer, Sender: f.sender})
-		_, outcome := client.Submit(ctx, agatestate.Encode(agatestate.Command{Death: death}))
-		if outcome != agateclient.Applied {
-			f.log.Warn("death not reported", "kind", "suspect", "choice", upstream, "outcome", int(outcome))
+		if _, outcome := client.Submit(ctx, agatestate.Encode(cmd)); outcome != agateclient.Applied {
+			f.log.Warn("suspects not reported", "kind", "suspect", "outcome", int(outcome))
 		}
 	})
 }
