--- a/io/agatelog/async_test.go
+++ b/io/agatelog/async_test.go
@@ -65,3 +65,18 @@
 	a.Close(10 * time.Second)
 	assert.Equal(t, buf.String(), "first\n")
 }
+
+// Guards against a stalled output that makes a process hold many long lines.
+func TestAsyncBoundsBytes(t *testing.T) {
+	out := &stalled{open: make(chan struct{})}
+	a := agatelog.NewAsync(out)
+	line := bytes.Repeat([]byte("x"), 64<<10)
+	for range 100 {
+		_, err := a.Write(line)
+		assert.NilError(t, err)
+	}
+	// 2 MiB hold 32 of them, besides one that is being written.
+	assert.Assert(t, a.Dropped() >= 67, "%d of 100 lines were dropped", a.Dropped())
+	close(out.open)
+	a.Close(10 * time.Second)
+}
