agatebalance: failures are forgotten while there are none

Cause: the share of failures changed with attempts only, and an upstream above the limit got none but as the last one, so it was never used again after it had recovered. TestRecoveredUpstreamIsTriedAgain failed first.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -183,7 +183,7 @@
 
 func (x *search) candidate(u *upstream) candidate {
 	c := candidate{u: u, load: u.load(x.now) / u.slots()}
-	c.bad = x.now.Before(u.ejectedUntil) || u.failing.mean > failSkip || u.silent(x.now)
+	c.bad = x.now.Before(u.ejectedUntil) || u.failShare(x.now) > failSkip || u.silent(x.now)
 	slow := u.slowness(x.now, x.s)
 	// A slow upstream has, in effect, fewer slots.
 	c.load *= slow
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -249,7 +249,7 @@
 			Row:      u.row,
 			InFlight: u.own,
 			Latency:  seconds(u.latency.mean),
-			Failures: u.failing.mean,
+			Failures: u.failShare(now),
 			Ejected:  now.Before(u.ejectedUntil),
 		})
 	}
--- a/core/agatebalance/table_test.go
+++ b/core/agatebalance/table_test.go
@@ -172,3 +172,30 @@
 	later := now.Add(10 * time.Second)
 	assert.Assert(t, choose(table, later, nil).Upstream != first)
 }
+
+// Guards against an upstream that failed for a while and is never tried again.
+func TestRecoveredUpstreamIsTriedAgain(t *testing.T) {
+	now := time.Unix(1, 0)
+	table := newTable()
+	table.SetFleet(now, []agatebalance.Row{row("u1"), row("u2")}, true, nil)
+	first := choose(table, now, nil).Upstream
+	for range 20 {
+		table.Start(now, first)
+		table.Finish(now, first, agatebalance.Observation{Outcome: agatebalance.Failed})
+	}
+	assert.Assert(t, choose(table, now, nil).Upstream != first)
+	// It is tried again within seconds, and one answer brings it back.
+	later := now.Add(6 * time.Second)
+	assert.Equal(t, choose(table, later, nil).Upstream, first)
+	table.Start(later, first)
+	table.Finish(later, first, agatebalance.Observation{Outcome: agatebalance.Answered, Latency: 10 * time.Millisecond})
+	assert.Equal(t, choose(table, later, nil).Upstream, first)
+	// One that goes on to fail is passed over again at once.
+	table.Start(later, first)
+	table.Finish(later, first, agatebalance.Observation{Outcome: agatebalance.Failed})
+	table.Start(later, first)
+	table.Finish(later, first, agatebalance.Observation{Outcome: agatebalance.Failed})
+	table.Start(later, first)
+	table.Finish(later, first, agatebalance.Observation{Outcome: agatebalance.Failed})
+	assert.Assert(t, choose(table, later, nil).Upstream != first)
+}
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -14,6 +14,8 @@
 	ejectMost  = 4 * time.Second
 	// failWindow is the number of attempts over which failures are averaged.
 	failWindow = 12
+	// failLife is the time constant with which failures are forgotten.
+	failLife = 2 * time.Second
 	// latencyWindow is the number of answers over which latency is averaged.
 	latencyWindow = 16
 	// loadWindow is the number of reports over which the load from other hosts
@@ -96,8 +98,9 @@
 	travel  ewma // seconds there and back
 
 	failing      ewma // share of failed attempts
-	failures     int  // in a row
-	ejections    int  // in a row
+	failedAt     time.Time
+	failures     int // in a row
+	ejections    int // in a row
 	ejectedUntil time.Time
 
 	coldUntil time.Time
@@ -146,9 +149,17 @@
 	return u.row.Lapsed && now.Sub(u.workAt) > lapsedUse
 }
 
+// failShare is the share of failed attempts. It fades while there are none, so
+// that an upstream that failed is tried again.
+func (u *upstream) failShare(now time.Time) float64 {
+	return u.failing.mean * math.Exp(-now.Sub(u.failedAt).Seconds()/failLife.Seconds())
+}
+
 // failed counts a failure and ejects the upstream after some in a row.
 func (u *upstream) failed(now time.Time, weight float64, sure bool) {
+	u.failing.mean = u.failShare(now)
 	u.failing.add(weight, failWindow)
+	u.failedAt = now
 	if weight < 1 {
 		return
 	}
