--- a/core/agatequorum/config.go
+++ b/core/agatequorum/config.go
@@ -29,6 +29,11 @@
 	// The defaults are 300 ms and 600 ms.
 	ElectionMin time.Duration
 	ElectionMax time.Duration
+	// Stagger spaces the election timeouts of the voters by their identities,
+	// so that replicas that lose their leader or start together do not compete
+	// for votes. It must be longer than a round of votes. Zero draws timeouts
+	// between ElectionMin and ElectionMax instead.
+	Stagger time.Duration
 	// Rand returns random bits for the election timeout. It is required.
 	Rand func() uint64
 	// MaxBytes bounds the entry data in one message, and is the chunk size of
--- a/core/agatequorum/core.go
+++ b/core/agatequorum/core.go
@@ -135,12 +135,28 @@
 // the first timeout.
 func (c *Core) resetDeadline() {
 	wait := c.cfg.ElectionMin
-	if spread := uint64(c.cfg.ElectionMax - c.cfg.ElectionMin); spread > 0 {
-		wait += time.Duration(c.cfg.Rand() % spread)
+	spread := c.cfg.ElectionMax - c.cfg.ElectionMin
+	if c.cfg.Stagger > 0 {
+		wait += time.Duration(c.place()) * c.cfg.Stagger
+		spread = c.cfg.Stagger / 2
+	}
+	if spread > 0 {
+		wait += time.Duration(c.cfg.Rand() % uint64(spread))
 	}
 	c.deadline = c.now + wait<<min(max(c.rounds-freeRounds, 0), maxDoublings)
 }
 
+// place is the number of voters with a lower identity.
+func (c *Core) place() int {
+	n := 0
+	for _, m := range c.members.latest().members {
+		if !m.Learner && m.ID < c.cfg.ID {
+			n++
+		}
+	}
+	return n
+}
+
 // Step handles a message from another replica. Messages may be lost,
 // delayed, duplicated and reordered.
 func (c *Core) Step(now time.Duration, m Message) {
--- /dev/null
+++ b/io/agateclient/suspect.go
@@ -0,0 +1,32 @@
+package agateclient
+
+import (
+	"agategate/core/agatestate"
+	"agategate/core/agatesuspect"
+	"agategate/io/agatewire"
+)
+
+// Records decodes the control group's records of suspects. Records with a
+// fingerprint that is too short are left out.
+func Records(list []*agatewire.Suspect) []agatesuspect.Record {
+	out := make([]agatesuspect.Record, 0, len(list))
+	for _, s := range list {
+		if len(s.Print) < agatesuspect.Size {
+			continue
+		}
+		r := agatesuspect.Record{Deaths: int(s.Deaths), Index: s.Index, Cleared: s.Cleared}
+		copy(r.Print[:], s.Print)
+		if s.Deaths == 0 {
+			r.Cleared = s.Index
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// StatePrint is a fingerprint as the control group stores it.
+func StatePrint(f agatesuspect.Fingerprint) agatestate.Fingerprint {
+	var out agatestate.Fingerprint
+	copy(out[:], f[:])
+	return out
+}
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -48,6 +48,9 @@
 	callTime = 3 * time.Second
 	// expireEvery is how often the leader lets due records expire.
 	expireEvery = time.Second
+	// syncEvery is how often a replica looks whether it has gained or lost its
+	// leader, which watching hosts are told at once.
+	syncEvery = 50 * time.Millisecond
 	// sweepEvery is how often leases of entry hosts are checked.
 	sweepEvery = 250 * time.Millisecond
 )
@@ -73,6 +76,8 @@
 	// Heartbeat is the interval of the quorum's heartbeats. The default is that
 	// of agatequorum.
 	Heartbeat time.Duration
+	// Stagger spaces the election timeouts; see agatequorum.Config.
+	Stagger time.Duration
 	// Heal lets the group admit replicas, remove dead ones and take back
 	// removed ones without an operator.
 	Heal bool
@@ -99,6 +104,8 @@
 	time     stateTime
 	accepted acceptedTimes
 	granter  granter
+	// synced says that the replica knew a leader when it last looked.
+	synced atomic.Bool
 	// spreadTime is owned by the duty that publishes the metrics.
 	spreadTime spreadTime
 	metrics    *metrics
@@ -226,6 +233,7 @@
 	c.duties.Go(func() { c.every(expireEvery, c.expire) })
 	c.duties.Go(func() { c.every(repairEvery, c.repair) })
 	c.duties.Go(func() { c.every(sweepEvery, c.sweep) })
+	c.duties.Go(func() { c.every(syncEvery, c.checkSync) })
 	if c.cfg.Heal {
 		c.duties.Go(func() { c.every(lapseEvery, c.lapse) })
 	}
@@ -252,6 +260,7 @@
 		SaveSnapshot:  c.store.SaveSnapshot,
 		SnapshotEvery: c.cfg.Settings.Snapshot,
 		Heartbeat:     c.cfg.Heartbeat,
+		Stagger:       c.cfg.Stagger,
 		Logger:        c.log.Named("replica"),
 	}
 }
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -82,6 +82,8 @@
 	fleet    uint64
 	suspects uint64
 	follow   bool
+	// synced is what the host was last told.
+	synced bool
 }
 
 // receive hands the newest heartbeat of the host to run.
@@ -137,7 +139,7 @@
 			}
 		case <-woken:
 			woken = nil
-			if w.follow {
+			if w.follow || w.c.synced.Load() != w.synced {
 				gather = time.After(watchGather)
 			}
 		case <-gather:
@@ -150,9 +152,17 @@
 	}
 }
 
+// checkSync tells watching hosts when the replica gains or loses its leader.
+func (c *Control) checkSync(context.Context) {
+	synced := c.replica.Load().Status().Leader != 0
+	if c.synced.Swap(synced) != synced {
+		c.changed.wake()
+	}
+}
+
 // stale reports whether the host lacks something that this replica has.
 func (w *watch) stale() bool {
-	return w.follow && w.c.machine.FleetIndex() > w.fleet
+	return w.follow && w.c.synced.Load() && w.c.machine.FleetIndex() > w.fleet
 }
 
 func (w *watch) take(ask *agatewire.WatchAsk) {
@@ -189,7 +199,8 @@
 		w.hosts = hosts
 		reply.Hosts = hosts
 	}
-	if !w.follow {
+	w.synced = reply.Synced
+	if !w.follow || !reply.Synced {
 		return reply
 	}
 	if reply.Fleet > w.fleet {
--- a/io/agateentry/suspect.go
+++ b/io/agateentry/suspect.go
@@ -6,8 +6,8 @@
 	"sync"
 
 	"agategate/core/agateroute"
-	"agategate/core/agatestate"
 	"agategate/core/agatesuspect"
+	"agategate/io/agateclient"
 	"agategate/io/agatewire"
 )
 
@@ -152,7 +152,7 @@
 func (s *suspects) control(reply *agatewire.BeatReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.Merge(fromWireSuspects(reply.Suspects), reply.Index)
+	s.tracker.Merge(agateclient.Records(reply.Suspects), reply.Index)
 }
 
 // merge takes what a peer knows.
@@ -162,7 +162,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.Merge(fromWireSuspects(list), 0)
+	s.tracker.Merge(agateclient.Records(list), 0)
 }
 
 // export returns the records that the control group may not have told peers.
@@ -181,26 +181,3 @@
 	}
 	return out
 }
-
-func fromWireSuspects(list []*agatewire.Suspect) []agatesuspect.Record {
-	out := make([]agatesuspect.Record, 0, len(list))
-	for _, s := range list {
-		if len(s.Print) < agatesuspect.Size {
-			continue
-		}
-		r := agatesuspect.Record{Deaths: int(s.Deaths), Index: s.Index, Cleared: s.Cleared}
-		copy(r.Print[:], s.Print)
-		if s.Deaths == 0 {
-			r.Cleared = s.Index
-		}
-		out = append(out, r)
-	}
-	return out
-}
-
-// statePrint is a fingerprint as the control group stores it.
-func statePrint(f agatesuspect.Fingerprint) agatestate.Fingerprint {
-	var out agatestate.Fingerprint
-	copy(out[:], f[:])
-	return out
-}
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -268,7 +268,7 @@
 		Domain:   l.f.cfg.Domain,
 		Caller:   l.f.cfg.Listen.String(),
 		Ready:    ready,
-		Follow:   w.follow,
+		Follow:   w.follow || !l.has,
 		Suspects: suspects,
 	}
 	if l.has {
--- a/io/agatefront/suspects.go
+++ b/io/agatefront/suspects.go
@@ -109,16 +109,7 @@
 	if len(reply.Suspects) == 0 && reply.Index == 0 {
 		return nil
 	}
-	list := make([]agatesuspect.Record, 0, len(reply.Suspects))
-	for _, w := range reply.Suspects {
-		r := agatesuspect.Record{Deaths: int(w.Deaths), Index: w.Index}
-		if w.Deaths == 0 {
-			r.Cleared = w.Index
-		}
-		if copy(r.Print[:], w.Print) == len(r.Print) {
-			list = append(list, r)
-		}
-	}
+	list := agateclient.Records(reply.Suspects)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range list {
@@ -128,7 +119,7 @@
 		s.blame(now, r.Print)
 		if _, answered := s.answered[r.Print]; answered && now.Sub(s.stated[r.Print]) > absolveAgain {
 			s.stated[r.Print] = now
-			harmless = append(harmless, statePrint(r.Print))
+			harmless = append(harmless, agateclient.StatePrint(r.Print))
 		}
 	}
 	if len(s.stated) >= answeredMost {
@@ -138,13 +129,6 @@
 	return harmless
 }
 
-// statePrint is a fingerprint as the control group stores it.
-func statePrint(p agatesuspect.Fingerprint) agatestate.Fingerprint {
-	var out agatestate.Fingerprint
-	copy(out[:], p[:])
-	return out
-}
-
 func (s *suspects) index() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -160,7 +144,7 @@
 	}
 	death := &agatestate.Death{Host: f.cfg.Name, Upstream: upstream}
 	for _, p := range prints {
-		death.Prints = append(death.Prints, statePrint(p))
+		death.Prints = append(death.Prints, agateclient.StatePrint(p))
 	}
 	f.log.Warn("upstream died", "kind", "suspect", "choice", upstream, "prints", len(prints), "first", prints[0])
 	f.submit(agatestate.Command{Death: death})
--- a/io/agatereplica/config.go
+++ b/io/agatereplica/config.go
@@ -66,6 +66,9 @@
 	Heartbeat   time.Duration
 	ElectionMin time.Duration
 	ElectionMax time.Duration
+	// Stagger spaces the election timeouts; see agatequorum.Config. The default
+	// is none.
+	Stagger time.Duration
 	// SnapshotEvery is the number of entries between snapshots. The default
 	// is 4,096.
 	SnapshotEvery int
@@ -124,6 +127,7 @@
 		Heartbeat:   cfg.Heartbeat,
 		ElectionMin: cfg.ElectionMin,
 		ElectionMax: cfg.ElectionMax,
+		Stagger:     cfg.Stagger,
 		Rand:        cfg.Rand,
 		MaxPending:  cfg.MaxPending,
 		Keep:        cfg.Keep,
