--- a/io/agatecontrol/fleet.go
+++ b/io/agatecontrol/fleet.go
@@ -68,7 +68,7 @@
 		c.heardUp.note(up.ID, time.Now())
 	}
 	if ok && !changed(&known, &up) {
-		if c.replica.Load().Status().Leader == 0 {
+		if _, led := c.Leader(); !led {
 			return errNoLeader
 		}
 		return nil
--- a/io/agatecontrol/presence.go
+++ b/io/agatecontrol/presence.go
@@ -37,12 +37,12 @@
 	hosts map[string]watcher
 }
 
-// heard takes the heartbeat of an entry host and reports whether its readiness
-// is new.
-func (p *presence) heard(now time.Time, ask *agatewire.WatchAsk) bool {
+// heard takes the heartbeat of an entry host. One without an address for
+// callers is of no use to them and left out.
+func (p *presence) heard(now time.Time, ask *agatewire.WatchAsk) {
 	addr, err := netip.ParseAddrPort(ask.Caller)
 	if err != nil {
-		return false
+		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -50,7 +50,6 @@
 		p.hosts = make(map[string]watcher)
 	}
 	name := ask.Sender.GetHost()
-	old, known := p.hosts[name]
 	p.hosts[name] = watcher{
 		name:   name,
 		region: ask.Region,
@@ -60,7 +59,6 @@
 		epoch:  ask.Sender.GetEpoch(),
 		at:     now,
 	}
-	return !known || old.ready != ask.Ready || old.caller != addr
 }
 
 // lost notes that the stream of an entry host ended.
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -73,7 +73,6 @@
 	c      *Control
 	stream grpc.BidiStreamingServer[agatewire.WatchAsk, agatewire.WatchReply]
 	asks   chan *agatewire.WatchAsk
-	ask    *agatewire.WatchAsk
 	// hosts and replicas are the names and addresses that were sent last; they
 	// are sent again when they change.
 	hosts    []string
@@ -166,7 +165,6 @@
 }
 
 func (w *watch) take(ask *agatewire.WatchAsk) {
-	w.ask = ask
 	w.c.presence.heard(time.Now(), ask)
 	w.follow = ask.Follow
 	w.fleet = max(w.fleet, ask.Fleet)
--- /dev/null
+++ b/io/agatefront/conns.go
@@ -0,0 +1,75 @@
+package agatefront
+
+import (
+	"sync"
+	"time"
+)
+
+// conns is the open connections of callers.
+type conns struct {
+	mu  sync.Mutex
+	all map[*conn]struct{}
+}
+
+func (s *conns) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all == nil {
+		s.all = make(map[*conn]struct{})
+	}
+	s.all[c] = struct{}{}
+}
+
+func (s *conns) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.all, c)
+}
+
+func (s *conns) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.all)
+}
+
+// list returns the open connections.
+func (s *conns) list() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*conn, 0, len(s.all))
+	for c := range s.all {
+		out = append(out, c)
+	}
+	return out
+}
+
+// busy is the number of requests in progress.
+func (s *conns) busy() int {
+	n := 0
+	for _, c := range s.list() {
+		n += c.pending()
+	}
+	return n
+}
+
+// closeIdle closes connections without a request in progress and returns how
+// many are still open.
+func (s *conns) closeIdle() int {
+	list := s.list()
+	for _, c := range list {
+		c.mu.Lock()
+		if c.waiting == 0 {
+			c.closing = true
+			_ = c.nc.SetReadDeadline(time.Now()) // ends the reader
+		}
+		c.mu.Unlock()
+	}
+	return len(list)
+}
+
+func (s *conns) closeAll() {
+	for _, c := range s.list() {
+		c.leave()
+		_ = c.nc.Close() // nothing depends on it
+	}
+}
