--- a/core/agatebalance/policy_test.go
+++ b/core/agatebalance/policy_test.go
@@ -42,6 +42,8 @@
 		l.hosts = 30
 		l.length = 10 * time.Second
 	}), 0.75},
+	{with("blind", func(l *load) { l.rate = 458; l.blind = true }), 0.75},
+	{with("one-region", func(l *load) { l.rate = 458; l.upstreams = [3]int{12, 0, 0} }), 0.75},
 	{with("slow", func(l *load) { l.rate = 400; l.slow = 3; l.slowBy = 8 }), 0.5},
 }
 
--- a/core/agatebalance/sim_test.go
+++ b/core/agatebalance/sim_test.go
@@ -29,6 +29,7 @@
 	length    time.Duration
 	slow      int     // upstreams that are slow in the second half
 	slowBy    float64 // by this factor
+	blind     bool    // upstreams do not report their load
 }
 
 // score is how a workload was served.
@@ -320,7 +321,7 @@
 
 func (s *sim) answer(now time.Time, r *simRequest, outcome agatebalance.Outcome) {
 	u := r.up
-	o := agatebalance.Observation{Outcome: outcome, Reported: true, Running: u.running, Waiting: len(u.queue)}
+	o := agatebalance.Observation{Outcome: outcome, Reported: !s.load.blind, Running: u.running, Waiting: len(u.queue)}
 	s.after(now.Add(s.way(r)), func(now time.Time) {
 		o.Latency = now.Sub(r.sent)
 		o.Travel = 2 * s.way(r)
@@ -350,6 +351,11 @@
 	t := agatebalance.New(agatebalance.Config{
 		Host: fmt.Sprint("h", host), Region: s.where[host], Domain: s.where[host] + "-0", Regions: regions,
 	})
+	var hosts []string
+	for h := range s.load.hosts {
+		hosts = append(hosts, fmt.Sprint("h", h))
+	}
+	t.SetHosts(hosts)
 	t.SetFleet(s.begin, s.rows(), true, nil)
 	return &product{t: t, route: &agateplan.Route{Kind: agateplan.Safe, Attempts: 2}}
 }
