control: the directory waits for the hosts that come back

Others than the near hosts are named when a region has less than half of the hosts of the last minute. Lists are rebuilt at most every 50 ms.

--- a/io/agatecontrol/presence.go
+++ b/io/agatecontrol/presence.go
@@ -15,8 +15,23 @@
 	// heartbeat on a watch stream: three intervals of 500 ms.
 	presenceLease = 1500 * time.Millisecond
 	// nearHosts is the number of entry hosts of the caller's region from which
-	// no others are named.
+	// no others are named, and nearShare the share of those that the region had
+	// lately. Fewer hosts could not carry the region's callers.
 	nearHosts = 2
+	nearShare = 0.5
+	// regionMemory is how long the number of entry hosts of a region is
+	// remembered.
+	regionMemory = time.Minute
+	// settleShare is the share of the present hosts that must be ready before
+	// the first list is given out after no host was ready, settleQuiet how long
+	// none may have become ready, and settleMost how long the list is held back
+	// at most. Callers keep their connections, so the first hosts that come
+	// back would get the work of all.
+	settleShare = 0.8
+	settleQuiet = 300 * time.Millisecond
+	settleMost  = 3 * time.Second
+	// listAge is how old a list may be that is given out.
+	listAge = 50 * time.Millisecond
 )
 
 // watcher is an entry host that watches this replica.
@@ -30,11 +45,34 @@
 	at     time.Time
 }
 
+// present reports whether a watcher was heard within its lease.
+func (w *watcher) present(now time.Time) bool { return now.Sub(w.at) <= presenceLease }
+
 // presence holds the entry hosts that watch this replica. It is kept in memory
 // only. It is safe for concurrent use.
 type presence struct {
 	mu    sync.Mutex
 	hosts map[string]watcher
+	// opened is when a host became ready after none was, grown when one last
+	// did, and settled whether the list is given out since.
+	opened, grown time.Time
+	settled       bool
+	regions       map[string]census
+	list          hostList
+}
+
+// census is the largest number of ready hosts of a region, and when it last
+// had that many.
+type census struct {
+	n  int
+	at time.Time
+}
+
+// hostList is the entry hosts that were present at a time.
+type hostList struct {
+	at    time.Time
+	names []string // sorted
+	ready []watcher
 }
 
 // heard takes the heartbeat of an entry host. One without an address for
@@ -44,21 +82,45 @@
 	if err != nil {
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.hosts == nil {
-		p.hosts = make(map[string]watcher)
-	}
-	name := ask.Sender.GetHost()
-	p.hosts[name] = watcher{
-		name:   name,
+	p.add(watcher{
+		name:   ask.Sender.GetHost(),
 		region: ask.Region,
 		domain: ask.Domain,
 		caller: addr,
 		ready:  ask.Ready,
 		epoch:  ask.Sender.GetEpoch(),
 		at:     now,
+	})
+}
+
+func (p *presence) add(w watcher) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hosts == nil {
+		p.hosts = make(map[string]watcher)
+	}
+	old := p.hosts[w.name]
+	known := old.present(w.at) && old.epoch == w.epoch
+	if !known || old.ready != w.ready {
+		p.list.at = time.Time{} // the list changes
 	}
+	if w.ready && !(known && old.ready) {
+		if !p.anyReady(w.at) {
+			p.opened = w.at
+			p.settled = false
+		}
+		p.grown = w.at
+	}
+	p.hosts[w.name] = w
+}
+
+func (p *presence) anyReady(now time.Time) bool {
+	for _, h := range p.hosts {
+		if h.ready && h.present(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // lost notes that the stream of an entry host ended.
@@ -67,41 +129,102 @@
 	defer p.mu.Unlock()
 	if p.hosts[name].epoch == epoch {
 		delete(p.hosts, name)
+		p.list.at = time.Time{}
 	}
 }
 
-// live returns the entry hosts that are present, by name.
-func (p *presence) live(now time.Time) []watcher {
+// names returns the names of the entry hosts that are present, sorted. The
+// result must not be changed.
+func (p *presence) names(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []watcher
+	return p.current(now).names
+}
+
+// current returns a list that is at most listAge old.
+func (p *presence) current(now time.Time) *hostList {
+	if age := now.Sub(p.list.at); age >= 0 && age < listAge {
+		return &p.list
+	}
+	list := hostList{at: now}
+	count := map[string]int{}
 	for name, h := range p.hosts {
-		if now.Sub(h.at) > presenceLease {
+		if !h.present(now) {
 			delete(p.hosts, name)
 			continue
 		}
-		out = append(out, h)
+		list.names = append(list.names, name)
+		if h.ready {
+			list.ready = append(list.ready, h)
+			count[h.region]++
+		}
 	}
-	slices.SortFunc(out, func(x, y watcher) int { return cmp.Compare(x.name, y.name) })
-	return out
+	slices.Sort(list.names)
+	slices.SortFunc(list.ready, func(x, y watcher) int { return cmp.Compare(x.name, y.name) })
+	p.remember(now, count)
+	p.list = list
+	return &p.list
 }
 
-// Entries returns the addresses for callers of the entry hosts that a caller
-// in a region should use: those of its own region, and all others as well when
-// the region has fewer than two.
-func (c *Control) Entries(region string) []netip.AddrPort {
-	var near, far []netip.AddrPort
-	for _, h := range c.presence.live(time.Now()) {
-		switch {
-		case !h.ready:
-		case h.region == region:
-			near = append(near, h.caller)
-		default:
-			far = append(far, h.caller)
+// remember updates the census of each region.
+func (p *presence) remember(now time.Time, count map[string]int) {
+	if p.regions == nil {
+		p.regions = make(map[string]census)
+	}
+	for region, n := range count {
+		if _, ok := p.regions[region]; !ok {
+			p.regions[region] = census{n: n, at: now}
 		}
 	}
-	if len(near) >= nearHosts {
+	for region, most := range p.regions {
+		if n := count[region]; n >= most.n || now.Sub(most.at) > regionMemory {
+			p.regions[region] = census{n: n, at: now}
+		}
+	}
+}
+
+// settles reports whether the hosts had time to come back after none was
+// ready.
+func (p *presence) settles(now time.Time, list *hostList) bool {
+	if now.Sub(p.opened) >= settleMost {
+		return true
+	}
+	enough := settleShare * float64(len(list.names))
+	return float64(len(list.ready)) >= enough && now.Sub(p.grown) >= settleQuiet
+}
+
+// entries returns the ready hosts that a caller in a region should use, or
+// none while the list is not complete.
+func (p *presence) entries(now time.Time, region string) []watcher {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.current(now)
+	if p.settled = p.settled || p.settles(now, list); !p.settled {
+		return nil
+	}
+	var near, far []watcher
+	for _, h := range list.ready {
+		if h.region == region {
+			near = append(near, h)
+		} else {
+			far = append(far, h)
+		}
+	}
+	enough := max(nearHosts, nearShare*float64(p.regions[region].n))
+	if float64(len(near)) >= enough {
 		return near
 	}
 	return append(near, far...)
 }
+
+// Entries returns the addresses for callers of the entry hosts that a caller
+// in a region should use: those of its own region, and all others as well when
+// the region lost half of its hosts or has fewer than two. It returns none
+// while the hosts come back after all were lost.
+func (c *Control) Entries(region string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, h := range c.presence.entries(time.Now(), region) {
+		out = append(out, h.caller)
+	}
+	return out
+}
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -189,10 +189,7 @@
 			reply.Replicas = replicas
 		}
 	}
-	var hosts []string
-	for _, h := range c.presence.live(time.Now()) {
-		hosts = append(hosts, h.name)
-	}
+	hosts := c.presence.names(time.Now())
 	if !slices.Equal(hosts, w.hosts) {
 		w.hosts = hosts
 		reply.Hosts = hosts
