entry hosts get the plan packed and the first fleet once

Cause: after a loss of power 84 hosts had their plan 2 to 3.4 s after their start. Every request for a plan made a replica decode and encode it anew, most hosts asked the same replica, and until a host had a fleet it asked all five replicas for the whole of it, over a link of 2 Mbit/s. Each host also wrote a line for each of 978 upstreams.

A replica packs a plan once a revision (deflate; 3,000 routes fit in 75 KB). A host asks one replica for its first fleet and the next after 700 ms. The first fleet is one line; later changes have a line each as before.

--- a/core/agateplan/document.go
+++ b/core/agateplan/document.go
@@ -1,7 +1,11 @@
 package agateplan
 
 import (
+	"bytes"
+	"compress/flate"
+	"errors"
 	"fmt"
+	"io"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -40,3 +44,43 @@
 	}
 	return d, nil
 }
+
+// maxPlan bounds the unpacked form of a plan in bytes. Plans of some thousand
+// routes have a few hundred kilobytes.
+const maxPlan = 32 << 20
+
+var errTooLarge = errors.New("agateplan: the plan is too large")
+
+// Pack returns the compressed form in which a plan travels to entry hosts.
+// Many routes differ only in their names, so it is a fraction of the stored
+// form, and some hosts have slow links.
+func (p *Plan) Pack() ([]byte, error) {
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.DefaultCompression)
+	if err != nil {
+		return nil, fmt.Errorf("agateplan: pack: %w", err)
+	}
+	if err := encoding.NewEncoder(w).Encode(p); err != nil {
+		return nil, fmt.Errorf("agateplan: pack: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("agateplan: pack: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+// Unpack is the inverse of Plan.Pack.
+func Unpack(b []byte) (*Plan, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxPlan+1))
+	if err != nil {
+		return nil, fmt.Errorf("agateplan: unpack: %w", err)
+	}
+	if len(data) > maxPlan {
+		return nil, errTooLarge
+	}
+	p := &Plan{}
+	if err := cbor.Unmarshal(data, p); err != nil {
+		return nil, fmt.Errorf("agateplan: unpack: %w", err)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/core/agateplan/document_test.go
@@ -0,0 +1,67 @@
+package agateplan_test
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agategate/core/agateplan"
+)
+
+// manyRoutes returns a plan of the size that deployments have.
+func manyRoutes(n int) *agateplan.Plan {
+	p := &agateplan.Plan{Version: 1, Services: []agateplan.Service{{Name: "stock", Connections: 40}}}
+	for i := range n {
+		if i%50 == 0 {
+			p.Hosts = append(p.Hosts, agateplan.Host{Name: fmt.Sprintf("shop%x.example", 7919*i)})
+		}
+		h := &p.Hosts[len(p.Hosts)-1]
+		h.Routes = append(h.Routes, agateplan.Route{
+			Name:     fmt.Sprintf("r-%x", 104729*(i+1)),
+			Prefix:   fmt.Sprintf("/%x/", 15485863*(i+1)),
+			Timeout:  3 * time.Second,
+			Target:   250 * time.Millisecond,
+			Attempts: 2,
+			Parts:    []agateplan.Part{{Service: "stock", Weight: 1}},
+		})
+	}
+	return p
+}
+
+// Guards against plans that hold up hosts behind slow links: with links of
+// 2 Mbit/s, 3,000 routes must arrive within 0.3 s.
+func TestPackedPlanIsSmall(t *testing.T) {
+	p := manyRoutes(3000)
+	packed, err := p.Pack()
+	assert.NilError(t, err)
+	const most = 2_000_000 / 8 * 3 / 10 // bytes
+	assert.Assert(t, len(packed) <= most, "%d bytes", len(packed))
+	again, err := agateplan.Unpack(packed)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, p)
+}
+
+// Guards against a damaged or hostile message that comes into force or fills
+// the memory.
+func TestUnpackRefuses(t *testing.T) {
+	packed, err := manyRoutes(10).Pack()
+	assert.NilError(t, err)
+	for n := range packed {
+		_, err := agateplan.Unpack(packed[:n])
+		assert.Assert(t, err != nil, "%d of %d bytes", n, len(packed))
+	}
+	var bomb bytes.Buffer
+	w, err := flate.NewWriter(&bomb, flate.BestCompression)
+	assert.NilError(t, err)
+	for range 64 {
+		_, err := w.Write(make([]byte, 1<<20))
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, w.Close())
+	_, err = agateplan.Unpack(bomb.Bytes())
+	assert.ErrorContains(t, err, "too large")
+}
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -98,6 +98,7 @@
 	server   *grpc.Server
 	sessions *sessions
 	presence presence
+	packed   packedPlan
 	changed  signal
 	heardAt  memberTimes
 	heardUp  heardTimes
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -244,19 +244,37 @@
 
 // Plan returns the plan that this replica knows to be accepted.
 func (s *controlService) Plan(context.Context, *agatewire.PlanAsk) (*agatewire.PlanReply, error) {
-	cur := s.c.machine.Config()
-	reply := &agatewire.PlanReply{Sender: s.c.identity(), Revision: cur.Revision}
-	if cur.Revision == 0 {
-		return reply, nil
-	}
-	doc, err := agateplan.DecodeDocument(cur.Document)
+	revision, packed, err := s.c.packed.of(s.c.machine.Config())
 	if err != nil {
 		return nil, unavailable("plan: %v", err)
 	}
-	doc.Source = nil // hosts need the plan only, and bytes between regions count
-	reply.Plan, err = doc.Encode()
+	return &agatewire.PlanReply{Sender: s.c.identity(), Revision: revision, Packed: packed}, nil
+}
+
+// packedPlan keeps the form of a plan for entry hosts, which all ask for it at
+// once after a change or a loss of power. The zero value is ready. It is safe
+// for concurrent use.
+type packedPlan struct {
+	mu       sync.Mutex
+	revision uint64
+	packed   []byte
+}
+
+// of returns the packed plan of a configuration, or revision 0 before the
+// first one. The plan is packed once a revision.
+func (p *packedPlan) of(cur agatestate.Revisioned) (revision uint64, packed []byte, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cur.Revision == p.revision {
+		return p.revision, p.packed, nil
+	}
+	doc, err := agateplan.DecodeDocument(cur.Document)
 	if err != nil {
-		return nil, unavailable("plan: %v", err)
+		return 0, nil, err
+	}
+	if packed, err = doc.Plan.Pack(); err != nil {
+		return 0, nil, err
 	}
-	return reply, nil
+	p.revision, p.packed = cur.Revision, packed
+	return p.revision, p.packed, nil
 }
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -36,6 +36,10 @@
 	freshFor = 3 * time.Second
 	// planTime bounds the fetch of a plan.
 	planTime = 2 * time.Second
+	// fleetTime is how long a host without a fleet waits for the replica that
+	// it asked before it asks the next one. A whole fleet takes a third of a
+	// second on a link of 2 Mbit/s, so several at once would delay each other.
+	fleetTime = 700 * time.Millisecond
 )
 
 // link is the duty that watches the control group. Its methods are safe for
@@ -52,6 +56,7 @@
 	rev      uint64           // revision of the plan in force
 	fetching bool
 	synced   time.Time // when a synced replica was last heard
+	asked    time.Time // when a replica was last asked for the whole fleet
 }
 
 // watch is the stream to one replica.
@@ -145,8 +150,12 @@
 	l.chooseFollowed(now)
 }
 
-// chooseFollowed follows the nearest replicas that are current.
+// chooseFollowed follows the nearest replicas that are current. Before the
+// fleet is known, take chooses.
 func (l *link) chooseFollowed(now time.Time) {
+	if !l.has {
+		return
+	}
 	var current []*watch
 	for _, w := range l.watches {
 		if w.synced && now.Sub(w.heard) < currentAfter {
@@ -160,7 +169,7 @@
 		return a.addr.Compare(b.addr)
 	})
 	if len(current) == 0 {
-		return // whoever answers first is followed, see take
+		return
 	}
 	chosen := current[:min(followed, len(current))]
 	for _, w := range l.watches {
@@ -268,7 +277,7 @@
 		Domain:   l.f.cfg.Domain,
 		Caller:   l.f.cfg.Listen.String(),
 		Ready:    ready,
-		Follow:   w.follow || !l.has,
+		Follow:   w.follow,
 		Suspects: suspects,
 	}
 	if l.has {
@@ -312,7 +321,8 @@
 	if reply.Delta && (reply.Fleet > l.fleet || !l.has) {
 		l.setFleet(now, reply)
 	}
-	if !l.has && !w.follow {
+	if !l.has && !w.follow && now.Sub(l.asked) > fleetTime {
+		l.asked = now
 		w.follow = true
 		w.nudge()
 	}
@@ -372,8 +382,10 @@
 			Cold:     time.Duration(u.Cold) * time.Millisecond,
 			Born:     u.Born,
 		})
-		f.log.Info("upstream", "kind", "upstream", "choice", u.Id, "service", u.Service, "address", u.Address,
-			"draining", u.Draining, "gone", u.Gone, "lapsed", u.Lapsed, "cold", u.Cold, "index", reply.Fleet)
+		if l.has {
+			f.log.Info("upstream", "kind", "upstream", "choice", u.Id, "service", u.Service, "address", u.Address,
+				"draining", u.Draining, "gone", u.Gone, "lapsed", u.Lapsed, "cold", u.Cold, "index", reply.Fleet)
+		}
 	}
 	f.mu.Lock()
 	gone := f.table.SetFleet(now, rows, reply.Whole, reply.Evacuated)
@@ -394,7 +406,7 @@
 	f := l.f
 	ctx, cancel := context.WithTimeout(f.ctx, planTime)
 	defer cancel()
-	doc, rev, err := l.fetchPlan(ctx, addr)
+	plan, rev, err := l.fetchPlan(ctx, addr)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fetching = false
@@ -405,20 +417,20 @@
 	if rev <= l.rev {
 		return
 	}
-	index := agateplan.NewIndex(&doc.Plan)
+	index := agateplan.NewIndex(plan)
 	f.mu.Lock()
 	f.table.SetPlan(index)
 	f.plan.Store(index)
 	f.mu.Unlock()
 	f.setShares()
 	l.rev = rev
-	f.log.Info("plan in force", "kind", "plan", "choice", doc.Plan.Version, "revision", rev, "from", addr)
+	f.log.Info("plan in force", "kind", "plan", "choice", plan.Version, "revision", rev, "from", addr)
 	for _, w := range l.watches {
 		w.nudge()
 	}
 }
 
-func (l *link) fetchPlan(ctx context.Context, addr netip.AddrPort) (*agateplan.Document, uint64, error) {
+func (l *link) fetchPlan(ctx context.Context, addr netip.AddrPort) (*agateplan.Plan, uint64, error) {
 	conn, err := l.f.dialer.Conn(addr)
 	if err != nil {
 		return nil, 0, err
@@ -428,8 +440,8 @@
 	if err != nil || reply.Revision == 0 {
 		return nil, 0, err
 	}
-	doc, err := agateplan.DecodeDocument(reply.Plan)
-	return doc, reply.Revision, err
+	plan, err := agateplan.Unpack(reply.Packed)
+	return plan, reply.Revision, err
 }
 
 // parseAddr returns the zero value for text that is no address.
