entry host sends callers elsewhere when it cannot serve them

Cause: callers keep their connections to a host that answers 503 to everything, because it has no plan or reaches no upstream, while other hosts serve.

The caller's next connection goes to a host of the newest list.

--- a/io/agatefront/conn.go
+++ b/io/agatefront/conn.go
@@ -386,13 +386,15 @@
 }
 
 // settle takes a request off the count and decides whether its answer is the
-// connection's last. During a planned stop that is the first answer with no
-// request behind it; a request that arrives later counts as not read.
+// connection's last. During a planned stop, and when the caller is better
+// served elsewhere, that is the first answer with no request behind it; a
+// request that arrives later counts as not read.
 func (c *conn) settle(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting--
-	last := x.last || x.reply.close || (c.f.stopping.Load() && c.waiting == 0)
+	moves := x.reply.elsewhere || c.f.stopping.Load()
+	last := x.last || x.reply.close || (moves && c.waiting == 0)
 	if last {
 		c.closing = true
 	}
--- a/io/agatefront/reply.go
+++ b/io/agatefront/reply.go
@@ -21,6 +21,9 @@
 	reason string
 	// close ends the connection behind the answer.
 	close bool
+	// elsewhere says that another entry host may serve the caller better. The
+	// connection ends behind the answer if no other request is on it.
+	elsewhere bool
 }
 
 // encode returns the bytes of the answer to a request. A reply of this host
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -81,7 +81,7 @@
 func (j *job) match() (reply, bool) {
 	j.plan = j.f.plan.Load()
 	if j.plan == nil {
-		return reply{status: http.StatusServiceUnavailable, after: planAgain, reason: "no plan"}, false
+		return reply{status: http.StatusServiceUnavailable, after: planAgain, reason: "no plan", elsewhere: true}, false
 	}
 	path, _, _ := strings.Cut(j.path, "?")
 	j.route = j.plan.Match(j.x.req.Host, path)
@@ -92,7 +92,7 @@
 		return reply{status: http.StatusBadGateway, reason: "route removed"}, false
 	case !j.f.link.fresh():
 		// The route may be in a plan that this host has not heard of.
-		return reply{status: http.StatusServiceUnavailable, after: planAgain, reason: "plan may be old"}, false
+		return reply{status: http.StatusServiceUnavailable, after: planAgain, reason: "plan may be old", elsewhere: true}, false
 	}
 	return reply{status: http.StatusNotFound, reason: "no route"}, false
 }
@@ -334,8 +334,14 @@
 		return reply{status: http.StatusBadGateway, reason: "answer lost"}, true
 	case j.limit.Sub(now) < leastLeft:
 		return j.giveUp(agatebalance.Decision{Reason: agatebalance.ReasonLate}), true
-	case j.attempts >= j.route.Attempts || j.unsent >= unsentMost:
+	case j.attempts >= j.route.Attempts:
 		return j.giveUp(agatebalance.Decision{Reason: agatebalance.ReasonBusy}), true
+	case j.unsent >= unsentMost:
+		// Several upstreams in a row could not be reached, so the fault may be
+		// this host's own, such as a link that is full.
+		r := j.giveUp(agatebalance.Decision{Reason: agatebalance.ReasonBusy})
+		r.elsewhere = true
+		return r, true
 	case j.f.suspects.refused(now, j.print) > 0:
 		return j.giveUp(agatebalance.Decision{Reason: agatebalance.ReasonNone}), true
 	case j.attempts > 0 && !j.budget(now):
