control: lists of replicas and hosts wait until the replica is in sync

Cause: a replica sent its lists of replicas and entry hosts with its first answer and then only when they changed. A host drops what a replica without a leader says, so a host that reached the replicas before an election was over heard the lists never and watched the three seeds for the rest of its life.

Lists go out only in sync. The directory waits 600 ms instead of 300 ms without a new host, the time in which a host finds a replica that is back.

--- a/io/agatecontrol/presence.go
+++ b/io/agatecontrol/presence.go
@@ -24,11 +24,12 @@
 	regionMemory = time.Minute
 	// settleShare is the share of the present hosts that must be ready before
 	// the first list is given out after no host was ready, settleQuiet how long
-	// none may have become ready, and settleMost how long the list is held back
-	// at most. Callers keep their connections, so the first hosts that come
-	// back would get the work of all.
+	// none may have come or become ready, and settleMost how long the list is
+	// held back at most. Callers keep their connections, so the first hosts that
+	// come back would get the work of all. A host reaches a replica that is
+	// back within the pause and the time limit of its dials, 550 ms.
 	settleShare = 0.8
-	settleQuiet = 300 * time.Millisecond
+	settleQuiet = 600 * time.Millisecond
 	settleMost  = 3 * time.Second
 	// listAge is how old a list may be that is given out.
 	listAge = 50 * time.Millisecond
@@ -53,8 +54,8 @@
 type presence struct {
 	mu    sync.Mutex
 	hosts map[string]watcher
-	// opened is when a host became ready after none was, grown when one last
-	// did, and settled whether the list is given out since.
+	// opened is when a host became ready after none was, grown when a host last
+	// came or became ready, and settled whether the list is given out since.
 	opened, grown time.Time
 	settled       bool
 	regions       map[string]census
@@ -103,14 +104,12 @@
 	known := old.present(w.at) && old.epoch == w.epoch
 	if !known || old.ready != w.ready {
 		p.list.at = time.Time{} // the list changes
-	}
-	if w.ready && !(known && old.ready) {
-		if !p.anyReady(w.at) {
-			p.opened = w.at
-			p.settled = false
-		}
 		p.grown = w.at
 	}
+	if w.ready && !(known && old.ready) && !p.anyReady(w.at) {
+		p.opened = w.at
+		p.settled = false
+	}
 	p.hosts[w.name] = w
 }
 
@@ -141,6 +140,17 @@
 	return p.current(now).names
 }
 
+// all returns the entry hosts that are present, by name.
+func (p *presence) all(now time.Time) []watcher {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []watcher
+	for _, name := range p.current(now).names {
+		out = append(out, p.hosts[name])
+	}
+	return out
+}
+
 // current returns a list that is at most listAge old.
 func (p *presence) current(now time.Time) *hostList {
 	if age := now.Sub(p.list.at); age >= 0 && age < listAge {
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -73,10 +73,7 @@
 	c      *Control
 	stream grpc.BidiStreamingServer[agatewire.WatchAsk, agatewire.WatchReply]
 	asks   chan *agatewire.WatchAsk
-	// hosts and replicas are the names and addresses that were sent last; they
-	// are sent again when they change.
-	hosts    []string
-	replicas []string
+	lists  sentLists
 	// fleet and suspects are the log indexes up to which the host knows all.
 	fleet    uint64
 	suspects uint64
@@ -184,15 +181,7 @@
 		for _, m := range st.Members {
 			replicas = append(replicas, m.Address.String())
 		}
-		if !slices.Equal(replicas, w.replicas) {
-			w.replicas = replicas
-			reply.Replicas = replicas
-		}
-	}
-	hosts := c.presence.names(time.Now())
-	if !slices.Equal(hosts, w.hosts) {
-		w.hosts = hosts
-		reply.Hosts = hosts
+		w.lists.fill(reply, replicas, c.presence.names(time.Now()))
 	}
 	w.synced = reply.Synced
 	if !w.follow || !reply.Synced {
@@ -211,6 +200,28 @@
 	return reply
 }
 
+// sentLists is the addresses of replicas and the names of entry hosts that a
+// host was sent last.
+type sentLists struct {
+	replicas, hosts []string
+}
+
+// fill adds the lists that changed since they were sent. A host believes only
+// a replica that is in sync, so the others send none.
+func (l *sentLists) fill(reply *agatewire.WatchReply, replicas, hosts []string) {
+	if !reply.Synced {
+		return
+	}
+	if !slices.Equal(replicas, l.replicas) {
+		l.replicas = replicas
+		reply.Replicas = replicas
+	}
+	if !slices.Equal(hosts, l.hosts) {
+		l.hosts = hosts
+		reply.Hosts = hosts
+	}
+}
+
 // fill adds what changed in the fleet.
 func (w *watch) fill(reply *agatewire.WatchReply) {
 	d := w.c.machine.Fleet(w.fleet)
