operators' own interface for plans, the fleet and evacuations

A plan is replaced only by one in the format of the one in force, and a group that holds a plan refuses commands about inventories instead of storing a document that entry hosts cannot read; before, 'agategate apply' against such a group would have done that. A change id that is used again with another plan is refused; before, it was answered as accepted.

The commands that call control hosts share one wrapper for arguments, client and timeout; each repeated ten lines.

--- a/core/agateplan/document.go
+++ b/core/agateplan/document.go
@@ -15,6 +15,19 @@
 type Document struct {
 	Plan   Plan   `cbor:"1,keyasint"`
 	Source []byte `cbor:"2,keyasint,omitempty"`
+	// Form names the format of Source; empty is that of the deployment's
+	// adapter. A plan is only replaced by one of the same form, so that no
+	// operator gets back a text in a foreign format.
+	Form string `cbor:"3,keyasint,omitempty"`
+}
+
+// FormText is the form of documents that Parse reads.
+const FormText = "toml"
+
+// IsDocument tells a stored plan from an inventory, which is text.
+func IsDocument(b []byte) bool {
+	const cborMap = 5 // major type of the first byte
+	return len(b) > 0 && b[0]>>5 == cborMap
 }
 
 var encoding = mustEncoding()
--- /dev/null
+++ b/core/agateplan/format.go
@@ -0,0 +1,109 @@
+package agateplan
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// planText and the types below are the form of a plan that Format writes. They
+// leave out what has its default value, which Parse fills in.
+type planText struct {
+	Version uint64        `toml:"version"`
+	Limits  *limitsText   `toml:"limits,omitempty"`
+	Service []serviceText `toml:"service,omitempty"`
+	Host    []hostText    `toml:"host,omitempty"`
+}
+
+type limitsText struct {
+	Header int    `toml:"header,omitempty"`
+	Body   int    `toml:"body,omitempty"`
+	Read   string `toml:"read,omitempty"`
+	Idle   string `toml:"idle,omitempty"`
+}
+
+type serviceText struct {
+	Name        string  `toml:"name"`
+	Health      string  `toml:"health,omitempty"`
+	Connections int     `toml:"connections,omitempty"`
+	Warm        string  `toml:"warm,omitempty"`
+	Rate        float64 `toml:"rate,omitempty"`
+}
+
+type hostText struct {
+	Name  string      `toml:"name"`
+	Route []routeText `toml:"route,omitempty"`
+}
+
+type routeText struct {
+	Name     string     `toml:"name"`
+	Prefix   string     `toml:"prefix"`
+	Kind     string     `toml:"kind"`
+	Timeout  string     `toml:"timeout,omitempty"`
+	Target   string     `toml:"target,omitempty"`
+	Priority int        `toml:"priority"`
+	Attempts int        `toml:"attempts"`
+	Sticky   bool       `toml:"sticky,omitempty"`
+	Regions  []string   `toml:"regions,omitempty"`
+	Part     []partText `toml:"part,omitempty"`
+}
+
+type partText struct {
+	Service string  `toml:"service"`
+	Weight  float64 `toml:"weight"`
+}
+
+// Format returns a plan as a document. For a plan from Parse, Parse of the
+// document returns an equal one.
+func Format(p *Plan) ([]byte, error) {
+	text := planText{Version: p.Version}
+	if l := p.Limits; l != (Limits{}) {
+		text.Limits = &limitsText{Header: l.Header, Body: l.Body, Read: span(l.HeaderTime), Idle: span(l.IdleTime)}
+	}
+	for i := range p.Services {
+		s := &p.Services[i]
+		text.Service = append(text.Service, serviceText{
+			Name: s.Name, Health: s.Health, Connections: s.Connections, Warm: span(s.WarmTime), Rate: s.WarmRate,
+		})
+	}
+	for i := range p.Hosts {
+		h := hostText{Name: p.Hosts[i].Name}
+		for j := range p.Hosts[i].Routes {
+			h.Route = append(h.Route, formatRoute(&p.Hosts[i].Routes[j]))
+		}
+		text.Host = append(text.Host, h)
+	}
+	var buf bytes.Buffer
+	if err := toml.NewEncoder(&buf).Encode(text); err != nil {
+		return nil, fmt.Errorf("agateplan: format: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+func formatRoute(r *Route) routeText {
+	t := routeText{
+		Name:     r.Name,
+		Prefix:   r.Prefix,
+		Kind:     r.Kind.String(),
+		Timeout:  span(r.Timeout),
+		Target:   span(r.Target),
+		Priority: r.Priority,
+		Attempts: r.Attempts,
+		Sticky:   r.Sticky,
+		Regions:  r.Regions,
+	}
+	for _, part := range r.Parts {
+		t.Part = append(t.Part, partText(part))
+	}
+	return t
+}
+
+// span writes a duration; zero, the default, is left out.
+func span(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
--- a/core/agateplan/plan.go
+++ b/core/agateplan/plan.go
@@ -111,60 +111,78 @@
 // Check returns every problem of the plan, joined, or nil.
 func (p *Plan) Check() error {
 	var problems []error
-	add := func(format string, args ...any) {
-		problems = append(problems, fmt.Errorf("agateplan: "+format, args...))
-	}
+	p.check(func(_ position, text string) {
+		problems = append(problems, errors.New("agateplan: "+text))
+	})
+	return errors.Join(problems...)
+}
+
+// position is the part of a plan that a problem is about: the plan itself, a
+// service, a host or a route of a host, by index, and one of its keys. Indexes
+// that do not apply are -1.
+type position struct {
+	service, host, route int
+	key                  string
+}
+
+func (p *Plan) check(report func(at position, text string)) {
 	if p.Version == 0 {
-		add("version must be above 0")
+		report(position{-1, -1, -1, "version"}, "version must be above 0")
 	}
-	known := map[string]bool{}
+	services := map[string]bool{}
 	for i := range p.Services {
 		s := &p.Services[i]
 		switch {
 		case s.Name == "":
-			add("service %d has no name", i)
-		case known[s.Name]:
-			add("service %q is listed twice", s.Name)
+			report(position{i, -1, -1, "name"}, fmt.Sprintf("service %d has no name", i))
+		case services[s.Name]:
+			report(position{i, -1, -1, "name"}, fmt.Sprintf("service %q is listed twice", s.Name))
 		}
-		known[s.Name] = true
+		services[s.Name] = true
 	}
 	for i := range p.Hosts {
 		h := &p.Hosts[i]
 		if h.Name == "" {
-			add("host %d has no name", i)
+			report(position{-1, i, -1, "name"}, fmt.Sprintf("host %d has no name", i))
 		}
 		for j := range h.Routes {
-			h.Routes[j].check(h.Name, known, add)
+			r := &h.Routes[j]
+			r.check(services, func(key, format string, args ...any) {
+				text := fmt.Sprintf("route %q of host %q: ", r.Name, h.Name) + fmt.Sprintf(format, args...)
+				report(position{-1, i, j, key}, text)
+			})
 		}
 	}
-	return errors.Join(problems...)
 }
 
-func (r *Route) check(host string, known map[string]bool, add func(string, ...any)) {
+func (r *Route) check(services map[string]bool, report func(key, format string, args ...any)) {
 	if !strings.HasPrefix(r.Prefix, "/") {
-		add("route %q of host %q: prefix %q does not begin with a slash", r.Name, host, r.Prefix)
+		report("prefix", "prefix %q does not begin with a slash", r.Prefix)
 	}
 	if r.Attempts < 1 {
-		add("route %q of host %q: attempts must be at least 1", r.Name, host)
+		report("attempts", "attempts must be at least 1")
+	}
+	if r.Timeout < 0 {
+		report("timeout", "a time is below 0")
 	}
-	if r.Timeout < 0 || r.Target < 0 {
-		add("route %q of host %q: a time is below 0", r.Name, host)
+	if r.Target < 0 {
+		report("target", "a time is below 0")
 	}
 	if len(r.Parts) == 0 {
-		add("route %q of host %q leads to no service", r.Name, host)
+		report("part", "leads to no service")
 	}
 	sum := 0.0
 	for _, part := range r.Parts {
-		if !known[part.Service] {
-			add("route %q of host %q: unknown service %q", r.Name, host, part.Service)
+		if !services[part.Service] {
+			report("part", "unknown service %q", part.Service)
 		}
 		if !(part.Weight >= 0) {
-			add("route %q of host %q: weight of %q is below 0", r.Name, host, part.Service)
+			report("part", "weight of %q is below 0", part.Service)
 		}
 		sum += part.Weight
 	}
 	if len(r.Parts) > 0 && !(sum > 0) {
-		add("route %q of host %q: no part has a weight", r.Name, host)
+		report("part", "no part has a weight")
 	}
 }
 
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -206,7 +206,7 @@
 			}
 		}
 	}
-	assert.Assert(t, len(seen) == 12, "%v", seen)
+	assert.Assert(t, len(seen) == 15, "%v", seen)
 }
 
 // codeOf returns the code in a line of a page: an indented line, or what is
--- a/io/agatecli/check.go
+++ b/io/agatecli/check.go
@@ -4,13 +4,18 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"agategate/core/agateinventory"
+	"agategate/core/agateplan"
 	"agategate/io/agatesettings"
 )
 
+var checkKinds = []string{"inventory", "plan", "entry", "control"}
+
 type checkBody struct {
 	File     string                  `json:"file"`
 	Kind     string                  `json:"kind"`
@@ -19,16 +24,16 @@
 
 func (a *app) check() *ffcli.Command {
 	fs := a.flags("check")
-	kind := fs.String("as", "", "kind of the files: inventory, entry or control (default: by their keys)")
+	kind := fs.String("as", "", "kind of the files: "+strings.Join(checkKinds, ", ")+" (default: by their keys)")
 	asJSON := jsonFlag(fs)
-	return a.command("check", "FILE...", "check inventories and settings without a running system",
+	return a.command("check", "FILE...", "check inventories, plans and settings without a running system",
 		"agategate check samples/quetzal/inventory.toml samples/quetzal/entry-1.toml", fs,
 		func(_ context.Context, args []string) error {
 			if len(args) == 0 {
 				return usagef("check needs at least one file")
 			}
-			if *kind != "" && *kind != "inventory" && *kind != "entry" && *kind != "control" {
-				return usagef("--as must be inventory, entry or control, not %q", *kind)
+			if *kind != "" && !slices.Contains(checkKinds, *kind) {
+				return usagef("--as must be one of %s, not %q", strings.Join(checkKinds, ", "), *kind)
 			}
 			return a.checkFiles(args, *kind, *asJSON)
 		})
@@ -84,6 +89,8 @@
 		_, problems = agatesettings.Load[agatesettings.Entry](src)
 	case "control":
 		_, problems = agatesettings.Load[agatesettings.Control](src)
+	case "plan":
+		_, problems = agateplan.Parse(file, data)
 	default:
 		_, problems = agateinventory.Parse(file, data)
 	}
--- a/io/agatecli/cli.go
+++ b/io/agatecli/cli.go
@@ -151,7 +151,7 @@
 func (a *app) root() *ffcli.Command {
 	commands := []*ffcli.Command{
 		a.entry(), a.control(), a.check(), a.apply(), a.show(), a.drain(), a.undrain(),
-		a.status(), a.explain(), a.member(), a.demo(), a.version(),
+		a.status(), a.explain(), a.member(), a.plan(), a.fleet(), a.evacuate(), a.demo(), a.version(),
 	}
 	root := &ffcli.Command{
 		Name:       "agategate",
--- a/io/agatecli/cli_test.go
+++ b/io/agatecli/cli_test.go
@@ -91,13 +91,63 @@
 	answers map[string]agateops.ChangeResult
 	hosts   []agateops.Host
 	reads   int
+
+	planNow   agateops.PlanResult
+	evacuated []string
+}
+
+func (c *control) plan(context.Context) agateops.PlanResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.planNow
+	r.Reply = done
+	return r
+}
+
+func (c *control) applyPlan(_ context.Context, r agateops.PlanRequest) agateops.PlanResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Base != c.planNow.Version {
+		return agateops.PlanResult{Reply: agateops.Reply{Outcome: agateops.Conflict, Reason: fmt.Sprintf("version %d is in force", c.planNow.Version)}}
+	}
+	c.planNow = agateops.PlanResult{Version: r.Plan.Version, Document: r.Document}
+	return agateops.PlanResult{Reply: done, Version: r.Plan.Version}
+}
+
+func (c *control) fleet(context.Context) agateops.FleetResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return agateops.FleetResult{Reply: done, Fleet: agateops.Fleet{
+		Version: c.planNow.Version, Evacuated: c.evacuated,
+		Upstreams: []agateops.FleetUpstream{
+			{ID: "u1", Service: "stock", Domain: "centro-a", Address: "127.0.5.1:80", Slots: 4, Cold: 2 * time.Second},
+			{ID: "u2", Service: "stock", Domain: "centro-a", Address: "127.0.5.2:80", Slots: 4, Gone: true, Lapsed: true},
+		},
+		Hosts: []agateops.FleetHost{{Name: "entry-1", Region: "centro", Domain: "centro-a", Caller: "127.0.1.1:80", Ready: true}},
+	}}
+}
+
+func (c *control) evacuate(_ context.Context, r agateops.EvacuateRequest) agateops.Reply {
+	if r.Domain != "centro-a" {
+		return agateops.Reply{Outcome: agateops.Invalid, Reason: "no upstream or entry host is known in failure domain " + r.Domain}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuated = nil
+	if r.On {
+		c.evacuated = []string{r.Domain}
+	}
+	return done
 }
 
 var done = agateops.Reply{Outcome: agateops.Done}
 
 func (c *control) config() agateops.Config {
 	c.answers = make(map[string]agateops.ChangeResult)
-	return agateops.Config{Apply: c.apply, Config: c.read, Status: c.status, Explain: explain, Members: members}
+	return agateops.Config{
+		Apply: c.apply, Config: c.read, Status: c.status, Explain: explain, Members: members,
+		Plan: c.plan, ApplyPlan: c.applyPlan, Fleet: c.fleet, Evacuate: c.evacuate,
+	}
 }
 
 func (c *control) apply(_ context.Context, r agateops.ChangeRequest) agateops.ChangeResult {
--- a/io/agatecli/drain.go
+++ b/io/agatecli/drain.go
@@ -47,15 +47,13 @@
 	change := fs.String("change", "", "id of the change, to send a change again after an unknown result")
 	wait := fs.Bool("wait", false, "wait until the revision is in force on all entry hosts")
 	asJSON := jsonFlag(fs)
-	return a.command(name, "KIND NAME", short, example, fs, func(ctx context.Context, args []string) error {
+	check := func(args []string) error {
 		if len(args) != 2 || !slices.Contains(drainKinds, args[0]) {
 			return usagef("%s needs a kind (upstream, host, domain or region) and a name", name)
 		}
-		client, ctx, cancel, err := r.open(ctx)
-		if err != nil {
-			return err
-		}
-		defer cancel()
+		return nil
+	}
+	return a.command(name, "KIND NAME", short, example, fs, r.exec(check, func(ctx context.Context, client *agateops.Client, args []string) error {
 		req := agateops.DrainRequest{Kind: agateinventory.DrainKind(args[0]), Name: args[1], Change: *change}
 		if req.Change == "" {
 			req.Change = newChange()
@@ -63,5 +61,5 @@
 		a.warnf("change %s\n", req.Change)
 		rev, err := call(ctx, client, req)
 		return a.finish(ctx, client, rev, err, *wait, *asJSON)
-	})
+	}))
 }
--- a/io/agatecli/explain.go
+++ b/io/agatecli/explain.go
@@ -21,15 +21,7 @@
 	asJSON := jsonFlag(fs)
 	return a.command("explain", "REQUEST", "print the decisions on a request by the id in its Agate-Request header",
 		"agategate explain --control 127.0.2.1:9001 entry-1-4f2a", fs,
-		func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return usagef("explain needs the id of one request")
-			}
-			client, ctx, cancel, err := r.open(ctx)
-			if err != nil {
-				return err
-			}
-			defer cancel()
+		r.exec(oneArg("explain needs the id of one request"), func(ctx context.Context, client *agateops.Client, args []string) error {
 			hosts, missing, err := client.Explain(ctx, args[0])
 			if err != nil {
 				return err
@@ -39,7 +31,7 @@
 			}
 			a.printDecisions(hosts, missing)
 			return nil
-		})
+		}))
 }
 
 func (a *app) printDecisions(hosts []agateops.HostDecisions, missing []string) {
@@ -78,16 +70,11 @@
 	asJSON := jsonFlag(fs)
 	return a.command("member", "add NAME ADDRESS | promote ID | remove ID", "change the members of the control group",
 		"agategate member --control 127.0.2.1:9001 add control-6 127.0.2.6:9000", fs,
-		func(ctx context.Context, args []string) error {
+		r.exec(memberArgs, func(ctx context.Context, client *agateops.Client, args []string) error {
 			req, err := memberOf(args)
 			if err != nil {
 				return err
 			}
-			client, ctx, cancel, err := r.open(ctx)
-			if err != nil {
-				return err
-			}
-			defer cancel()
 			list, err := client.Members(ctx, req)
 			if err != nil {
 				return err
@@ -99,7 +86,12 @@
 				a.printf("%d %s %s %s\n", m.ID, m.Name, m.Address, m.Role)
 			}
 			return nil
-		})
+		}))
+}
+
+func memberArgs(args []string) error {
+	_, err := memberOf(args)
+	return err
 }
 
 func memberOf(args []string) (agateops.MemberRequest, error) {
--- a/io/agatecli/operator.go
+++ b/io/agatecli/operator.go
@@ -82,6 +82,35 @@
 	return client, ctx, cancel, nil
 }
 
+// operatorFunc is the body of a command that calls control hosts.
+type operatorFunc func(ctx context.Context, client *agateops.Client, args []string) error
+
+// exec returns the function of a command that checks its arguments, and calls
+// control hosts within the timeout.
+func (r *remote) exec(check func(args []string) error, run operatorFunc) func(ctx context.Context, args []string) error {
+	return func(ctx context.Context, args []string) error {
+		if err := check(args); err != nil {
+			return err
+		}
+		client, ctx, cancel, err := r.open(ctx)
+		if err != nil {
+			return err
+		}
+		defer cancel()
+		return run(ctx, client, args)
+	}
+}
+
+// oneArg checks that a command got one argument.
+func oneArg(text string) func(args []string) error {
+	return func(args []string) error {
+		if len(args) != 1 {
+			return usagef("%s", text)
+		}
+		return nil
+	}
+}
+
 // newChange returns a change id that no other operator has.
 func newChange() string {
 	var b [16]byte
--- a/io/agatecli/show.go
+++ b/io/agatecli/show.go
@@ -23,15 +23,7 @@
 	asJSON := jsonFlag(fs)
 	return a.command("show", "", "print the configuration in force",
 		"agategate show --control 127.0.2.1:9001 > inventory.toml", fs,
-		func(ctx context.Context, args []string) error {
-			if err := noArgs(args); err != nil {
-				return err
-			}
-			client, ctx, cancel, err := r.open(ctx)
-			if err != nil {
-				return err
-			}
-			defer cancel()
+		r.exec(noArgs, func(ctx context.Context, client *agateops.Client, _ []string) error {
 			c, err := client.Config(ctx)
 			if err != nil {
 				return err
@@ -42,7 +34,7 @@
 			a.warnf("revision %d, change %s, accepted %s\n", c.Revision, c.Change, stamp(c.At))
 			a.printf("%s", c.Document)
 			return nil
-		})
+		}))
 }
 
 // stamp formats a time in UTC.
@@ -59,15 +51,7 @@
 	asJSON := jsonFlag(fs)
 	return a.command("status", "", "print replicas, entry hosts, capacity, grants and drains",
 		"agategate status --control 127.0.2.1:9001 --json", fs,
-		func(ctx context.Context, args []string) error {
-			if err := noArgs(args); err != nil {
-				return err
-			}
-			client, ctx, cancel, err := r.open(ctx)
-			if err != nil {
-				return err
-			}
-			defer cancel()
+		r.exec(noArgs, func(ctx context.Context, client *agateops.Client, _ []string) error {
 			s, err := client.Status(ctx)
 			if err != nil {
 				return err
@@ -77,7 +61,7 @@
 			}
 			a.printStatus(s)
 			return nil
-		})
+		}))
 }
 
 func (a *app) printStatus(s agateops.Status) {
--- a/io/agatecontrol/fleet.go
+++ b/io/agatecontrol/fleet.go
@@ -152,20 +152,16 @@
 		return c.planElsewhere(err)
 	}
 	cur, err := c.currentPlan()
-	if err != nil {
+	switch {
+	case errors.Is(err, errInventory):
+		return PlanResult{Outcome: PlanConflict, Reason: err.Error()}
+	case err != nil:
 		return PlanResult{Outcome: PlanUnknown, Reason: err.Error()}
 	}
-	if c.machine.Accepted(change) {
-		return PlanResult{Outcome: PlanAccepted, Version: cur.Plan.Version, Reason: "accepted before"}
-	}
-	if base != cur.Plan.Version {
-		return PlanResult{Outcome: PlanConflict, Version: cur.Plan.Version, Reason: "another version is in force"}
-	}
-	if err := doc.Plan.Check(); err != nil {
-		return PlanResult{Outcome: PlanInvalid, Version: cur.Plan.Version, Reason: err.Error()}
-	}
-	if doc.Plan.Version <= cur.Plan.Version {
-		return PlanResult{Outcome: PlanInvalid, Version: cur.Plan.Version, Reason: "the version is not above the one in force"}
+	if !c.machine.Accepted(change) {
+		if res, ok := checkPlan(cur, base, doc); !ok {
+			return res
+		}
 	}
 	data, err := doc.Encode()
 	if err != nil {
@@ -181,10 +177,30 @@
 		return PlanResult{Outcome: PlanAccepted, Version: doc.Plan.Version}
 	case agatestate.Conflict:
 		return PlanResult{Outcome: PlanConflict, Version: cur.Plan.Version, Reason: "another change won"}
+	case agatestate.Reused:
+		return PlanResult{Outcome: PlanConflict, Version: cur.Plan.Version, Reason: "the change id was used with another plan"}
 	}
 	return PlanResult{Outcome: PlanInvalid, Version: cur.Plan.Version, Reason: res.Verdict.String()}
 }
 
+// checkPlan reports whether a plan may replace the one in force, or why not.
+func checkPlan(cur *agateplan.Document, base uint64, doc *agateplan.Document) (PlanResult, bool) {
+	version := cur.Plan.Version
+	if base != version {
+		return PlanResult{Outcome: PlanConflict, Version: version, Reason: fmt.Sprintf("version %d is in force", version)}, false
+	}
+	if version > 0 && cur.Form != doc.Form {
+		return PlanResult{Outcome: PlanConflict, Version: version, Reason: "the plan in force was written in another format, through another interface"}, false
+	}
+	if err := doc.Plan.Check(); err != nil {
+		return PlanResult{Outcome: PlanInvalid, Version: version, Reason: err.Error()}, false
+	}
+	if doc.Plan.Version <= version {
+		return PlanResult{Outcome: PlanInvalid, Version: version, Reason: fmt.Sprintf("the version must be above %d, which is in force", version)}, false
+	}
+	return PlanResult{}, true
+}
+
 func (c *Control) planElsewhere(err error) PlanResult {
 	res := PlanResult{Outcome: PlanUnknown, Reason: err.Error()}
 	var notLeader *agatereplica.NotLeaderError
@@ -201,9 +217,14 @@
 	if cur.Revision == 0 {
 		return &agateplan.Document{}, nil
 	}
+	if !agateplan.IsDocument(cur.Document) {
+		return nil, errInventory
+	}
 	return agateplan.DecodeDocument(cur.Document)
 }
 
+var errInventory = errors.New("agatecontrol: the group holds an inventory, not a routing plan")
+
 // ReadPlan returns the newest plan, confirmed by a majority.
 func (c *Control) ReadPlan(ctx context.Context) (*agateplan.Document, PlanResult) {
 	if _, err := c.read(ctx); err != nil {
--- a/io/agatecontrol/operate.go
+++ b/io/agatecontrol/operate.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"agategate/core/agateplan"
 	"agategate/core/agatequorum"
 	"agategate/core/agatestate"
 	"agategate/io/agatelog"
@@ -26,6 +27,12 @@
 		Status:  c.status,
 		Explain: c.explain,
 		Members: c.changeMembers,
+
+		Plan:      c.readPlanText,
+		ApplyPlan: c.applyPlanText,
+		Fleet:     c.fleet,
+		Evacuate:  c.orderEvacuation,
+
 		Ready:   c.notReady,
 		Metrics: c.metrics.set,
 		Body:    int64(c.cfg.Settings.Limit.Body),
@@ -34,6 +41,10 @@
 	}
 }
 
+// reasonPlan refuses calls about the inventory of a group that holds a routing
+// plan.
+const reasonPlan = "the group holds a routing plan, not an inventory"
+
 var errNoGroup = errors.New("agatecontrol: the replica belongs to no group yet")
 
 // notReady returns why operators cannot be served, or nil.
@@ -53,6 +64,9 @@
 
 // apply proposes a configuration.
 func (c *Control) apply(ctx context.Context, r agateops.ChangeRequest) agateops.ChangeResult {
+	if agateplan.IsDocument(c.machine.Config().Document) {
+		return agateops.ChangeResult{Reply: agateops.Reply{Outcome: agateops.Conflict, Reason: reasonPlan}}
+	}
 	res, err := c.propose(ctx, agatestate.Command{Configure: &agatestate.Configure{
 		Change:   r.Change,
 		Base:     r.Base,
@@ -122,6 +136,9 @@
 		return agateops.ConfigResult{Reply: c.failedRead(ctx, err)}
 	}
 	cur := c.machine.Config()
+	if agateplan.IsDocument(cur.Document) {
+		return agateops.ConfigResult{Reply: agateops.Reply{Outcome: agateops.Conflict, Reason: reasonPlan}}
+	}
 	return agateops.ConfigResult{
 		Reply: agateops.Reply{Outcome: agateops.Done},
 		Configuration: agateops.Configuration{
--- /dev/null
+++ b/io/agatecontrol/planops.go
@@ -0,0 +1,152 @@
+package agatecontrol
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"agategate/core/agateplan"
+	"agategate/core/agatestate"
+	"agategate/io/agateops"
+	"agategate/io/agatereplica"
+)
+
+// readPlanText returns the newest plan as text for operators, whatever form
+// it was written in.
+func (c *Control) readPlanText(ctx context.Context) agateops.PlanResult {
+	doc, res := c.ReadPlan(ctx)
+	if res.Outcome != PlanAccepted {
+		return agateops.PlanResult{Reply: c.planReply(ctx, res, false), Version: res.Version}
+	}
+	out := agateops.PlanResult{Reply: agateops.Reply{Outcome: agateops.Done}, Version: doc.Plan.Version, Document: doc.Source}
+	if doc.Plan.Version > 0 && doc.Form != agateplan.FormText {
+		text, err := agateplan.Format(&doc.Plan)
+		if err != nil {
+			return agateops.PlanResult{Reply: agateops.Reply{Outcome: agateops.NotRun, Reason: err.Error()}}
+		}
+		out.Document = text
+	}
+	return out
+}
+
+// applyPlanText puts a plan in force that an operator wrote as text.
+func (c *Control) applyPlanText(ctx context.Context, r agateops.PlanRequest) agateops.PlanResult {
+	doc := &agateplan.Document{Plan: *r.Plan, Source: r.Document, Form: agateplan.FormText}
+	res := c.ApplyPlan(ctx, r.Change, r.Base, doc)
+	reply := c.planReply(ctx, res, true)
+	c.metrics.change(string(reply.Outcome))
+	return agateops.PlanResult{Reply: reply, Version: res.Version}
+}
+
+// planReply translates the result of a call on the plan. A read whose result
+// is not known changed nothing.
+func (c *Control) planReply(ctx context.Context, res PlanResult, write bool) agateops.Reply {
+	switch res.Outcome {
+	case PlanAccepted:
+		return agateops.Reply{Outcome: agateops.Done}
+	case PlanConflict:
+		return agateops.Reply{Outcome: agateops.Conflict, Reason: res.Reason}
+	case PlanInvalid:
+		return agateops.Reply{Outcome: agateops.Invalid, Reason: res.Reason}
+	case PlanElsewhere:
+		return c.elsewhere(ctx)
+	}
+	if write {
+		return agateops.Reply{Outcome: agateops.Unknown, Reason: res.Reason}
+	}
+	return agateops.Reply{Outcome: agateops.NotRun, Reason: res.Reason}
+}
+
+// elsewhere names the leader, if this replica knows it.
+func (c *Control) elsewhere(ctx context.Context) agateops.Reply {
+	reply := agateops.Reply{Outcome: agateops.Elsewhere, Reason: "another replica leads"}
+	if r := c.replica.Load(); r != nil {
+		reply.Leader = c.leaderAdmin(ctx, r.Status().Leader)
+	}
+	return reply
+}
+
+// fleet returns the upstreams and entry hosts.
+func (c *Control) fleet(ctx context.Context) agateops.FleetResult {
+	if _, err := c.read(ctx); err != nil {
+		return agateops.FleetResult{Reply: c.failedRead(ctx, err)}
+	}
+	out := agateops.FleetResult{Reply: agateops.Reply{Outcome: agateops.Done}}
+	if doc, err := c.currentPlan(); err == nil {
+		out.Version = doc.Plan.Version
+	}
+	d := c.machine.Fleet(0)
+	out.Evacuated = d.Evacuated
+	for i := range d.Upstreams {
+		out.Upstreams = append(out.Upstreams, fleetUpstream(&d.Upstreams[i]))
+	}
+	slices.SortFunc(out.Upstreams, func(a, b agateops.FleetUpstream) int {
+		if n := strings.Compare(a.Service, b.Service); n != 0 {
+			return n
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	for _, h := range c.presence.all(time.Now()) {
+		out.Hosts = append(out.Hosts, agateops.FleetHost{
+			Name: h.name, Region: h.region, Domain: h.domain, Caller: h.caller.String(), Ready: h.ready,
+		})
+	}
+	return out
+}
+
+func fleetUpstream(u *agatestate.Upstream) agateops.FleetUpstream {
+	out := agateops.FleetUpstream{
+		ID:       u.ID,
+		Service:  u.Service,
+		Domain:   u.Domain,
+		Slots:    u.Slots,
+		Draining: u.Draining,
+		Gone:     u.Gone,
+		Lapsed:   u.Lapsed,
+		Cold:     u.Cold,
+	}
+	if u.Address.IsValid() {
+		out.Address = u.Address.String()
+	}
+	return out
+}
+
+// orderEvacuation evacuates a failure domain, or ends that. A domain in which
+// nothing is known is refused: it is a slip of the pen, and nobody would
+// notice that the real one stays in use.
+func (c *Control) orderEvacuation(ctx context.Context, r agateops.EvacuateRequest) agateops.Reply {
+	if !c.knownDomain(r.Domain) {
+		return agateops.Reply{Outcome: agateops.Invalid, Reason: "no upstream or entry host is known in failure domain " + r.Domain}
+	}
+	err := c.Evacuate(ctx, r.Domain, r.On)
+	var notLeader *agatereplica.NotLeaderError
+	switch {
+	case err == nil:
+		return agateops.Reply{Outcome: agateops.Done}
+	case errors.As(err, &notLeader):
+		return c.elsewhere(ctx)
+	case errors.Is(err, ErrUnknown):
+		return agateops.Reply{Outcome: agateops.Unknown, Reason: err.Error()}
+	}
+	return c.whyFailed(ctx, err)
+}
+
+func (c *Control) knownDomain(domain string) bool {
+	d := c.machine.Fleet(0)
+	if slices.Contains(d.Evacuated, domain) {
+		return true
+	}
+	for i := range d.Upstreams {
+		if d.Upstreams[i].Domain == domain {
+			return true
+		}
+	}
+	for _, h := range c.presence.all(time.Now()) {
+		if h.domain == domain {
+			return true
+		}
+	}
+	return false
+}
--- a/io/agateops/calls.go
+++ b/io/agateops/calls.go
@@ -92,6 +92,49 @@
 	return b.Members, err
 }
 
+// Plan returns the newest routing plan as a document, and its version. The
+// version is 0 if there is none yet.
+func (c *Client) Plan(ctx context.Context) (version uint64, document []byte, err error) {
+	a, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/plan"})
+	if err != nil {
+		return 0, nil, err
+	}
+	if version, err = strconv.ParseUint(strings.Trim(a.header.Get("ETag"), `"`), 10, 64); err != nil {
+		return 0, nil, fmt.Errorf("agateops: reply without a version: %w", err)
+	}
+	return version, a.body, nil
+}
+
+// ApplyPlan puts a routing plan in force and returns its version. An unknown
+// result is sent again with the same change id until the context ends.
+func (c *Client) ApplyPlan(ctx context.Context, r PlanRequest) (uint64, error) {
+	header := http.Header{}
+	header.Set(HeaderChange, r.Change)
+	header.Set("If-Match", versionTag(r.Base))
+	header.Set("Content-Type", "application/toml")
+	var body planBody
+	err := c.into(ctx, call{method: http.MethodPut, path: "/v1/plan", header: header, body: r.Document, write: true}, &body)
+	return body.Version, err
+}
+
+// Fleet returns the upstreams and entry hosts.
+func (c *Client) Fleet(ctx context.Context) (Fleet, error) {
+	var f Fleet
+	err := c.into(ctx, call{method: http.MethodGet, path: "/v1/fleet"}, &f)
+	return f, err
+}
+
+// Evacuate keeps new work away from a failure domain, or ends that.
+func (c *Client) Evacuate(ctx context.Context, r EvacuateRequest) (Evacuation, error) {
+	method := http.MethodPut
+	if !r.On {
+		method = http.MethodDelete
+	}
+	var e Evacuation
+	err := c.into(ctx, call{method: method, path: "/v1/evacuations/" + url.PathEscape(r.Domain), write: true}, &e)
+	return e, err
+}
+
 func (c *Client) into(ctx context.Context, r call, dst any) error {
 	a, err := c.do(ctx, r)
 	if err != nil {
--- a/io/agateops/config.go
+++ b/io/agateops/config.go
@@ -130,15 +130,10 @@
 	return send(c, r.Reply, body)
 }
 
-// check parses a document. The parser works on one document at a time.
+// check parses a document.
 func (h *handler) check(ctx context.Context, doc []byte) agateinventory.Problems {
-	select {
-	case h.parse <- struct{}{}:
-		defer func() { <-h.parse }()
-	case <-ctx.Done():
-		return agateinventory.Problems{{File: documentName, Text: "the request was cancelled"}}
-	}
-	_, problems := agateinventory.Parse(documentName, doc)
+	problems := agateinventory.Problems{{File: documentName, Text: "the request was cancelled"}}
+	h.alone(ctx, func() { _, problems = agateinventory.Parse(documentName, doc) })
 	return problems
 }
 
--- a/io/agateops/fake_test.go
+++ b/io/agateops/fake_test.go
@@ -28,6 +28,9 @@
 	// down makes a replica refuse before anything is proposed.
 	down   map[string]bool
 	leader string // admin address
+
+	planVersion uint64
+	plan        []byte
 }
 
 func newGroup() *group {
@@ -104,6 +107,35 @@
 			}
 			return agateops.MemberResult{Reply: agateops.Reply{Outcome: agateops.Done}, Members: []agateops.Member{{ID: r.ID, Name: r.Name, Address: r.Address, Role: "learner"}}}
 		},
+		Plan: func(context.Context) agateops.PlanResult {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			reply, _ := lead()
+			return agateops.PlanResult{Reply: reply, Version: g.planVersion, Document: g.plan}
+		},
+		ApplyPlan: func(_ context.Context, r agateops.PlanRequest) agateops.PlanResult {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			reply, ok := lead()
+			if !ok {
+				return agateops.PlanResult{Reply: reply}
+			}
+			if r.Base != g.planVersion {
+				return agateops.PlanResult{Reply: agateops.Reply{Outcome: agateops.Conflict, Reason: "another version is in force"}}
+			}
+			g.planVersion, g.plan = r.Plan.Version, r.Document
+			return agateops.PlanResult{Reply: reply, Version: g.planVersion}
+		},
+		Fleet: func(context.Context) agateops.FleetResult {
+			reply, _ := lead()
+			return agateops.FleetResult{Reply: reply, Fleet: agateops.Fleet{Upstreams: []agateops.FleetUpstream{{ID: "u1", Service: "stock"}}}}
+		},
+		Evacuate: func(_ context.Context, r agateops.EvacuateRequest) agateops.Reply {
+			if r.Domain != "centro-a" {
+				return agateops.Reply{Outcome: agateops.Invalid, Reason: "no such failure domain"}
+			}
+			return agateops.Reply{Outcome: agateops.Done}
+		},
 		Ready: func() error { return nil },
 		Call:  5 * time.Second,
 	}
--- a/io/agateops/ops.go
+++ b/io/agateops/ops.go
@@ -50,6 +50,13 @@
 	Explain func(ctx context.Context, request string) ExplainResult
 	// Members changes the members of the control group.
 	Members func(ctx context.Context, r MemberRequest) MemberResult
+	// Plan and ApplyPlan read and change the routing plan, Fleet returns the
+	// upstreams and entry hosts that use it, and Evacuate keeps work away from
+	// a failure domain. There are no such endpoints without them.
+	Plan      func(ctx context.Context) PlanResult
+	ApplyPlan func(ctx context.Context, r PlanRequest) PlanResult
+	Fleet     func(ctx context.Context) FleetResult
+	Evacuate  func(ctx context.Context, r EvacuateRequest) Reply
 	// Ready returns why the replica cannot serve, or nil.
 	Ready func() error
 	// Metrics answers GET /metrics. There is no such endpoint without it.
@@ -94,6 +101,13 @@
 	e.DELETE("/v1/drain", h.deleteDrain)
 	e.GET("/v1/explain/:request", h.getExplain)
 	e.POST("/v1/members", h.postMembers)
+	if cfg.Plan != nil {
+		e.GET("/v1/plan", h.getPlan)
+		e.PUT("/v1/plan", h.putPlan)
+		e.GET("/v1/fleet", h.getFleet)
+		e.PUT("/v1/evacuations/:domain", h.evacuate(true))
+		e.DELETE("/v1/evacuations/:domain", h.evacuate(false))
+	}
 	e.GET("/healthz", health(cfg.Ready))
 	if cfg.Metrics != nil {
 		e.GET("/metrics", echo.WrapHandler(cfg.Metrics))
--- a/io/agatesettings/load.go
+++ b/io/agatesettings/load.go
@@ -208,7 +208,7 @@
 }
 
 // Detect returns which kind a file is by the keys that only that kind has:
-// "entry", "control" or, for any other file, "inventory".
+// "entry", "control", "plan" or, for any other file, "inventory".
 func Detect(data []byte) string {
 	doc := agatestrict.Read("", data)
 	switch {
@@ -216,6 +216,8 @@
 		return "entry"
 	case doc.Line("data") > 0 || doc.Line("members") > 0:
 		return "control"
+	case doc.Line("version") > 0:
+		return "plan"
 	}
 	return "inventory"
 }
--- a/samples/samples_test.go
+++ b/samples/samples_test.go
@@ -49,10 +49,11 @@
 	files, err := filepath.Glob("*/*.toml")
 	assert.NilError(t, err)
 	assert.Equal(t, len(files), 2*16)
+	files = append(files, "plan.toml")
 	var out strings.Builder
 	code := agatecli.Run(t.Context(), agatecli.Config{Stdout: &out, Stderr: &out}, append([]string{"check"}, files...))
 	assert.Equal(t, code, agatecli.ExitOK, out.String())
-	for kind, want := range map[string]int{"inventory": 2, "entry": 20, "control": 10} {
+	for kind, want := range map[string]int{"inventory": 2, "plan": 1, "entry": 20, "control": 10} {
 		assert.Equal(t, strings.Count(out.String(), "ok ("+kind+")"), want)
 	}
 }
