explain knows the requests of routing plans; log settings are checked

Entry hosts of routing plans keep their decisions in the ring of io/agatelog and answer GET /v1/explain/ID beside their metrics; control replicas learn that address from the first message of the watch stream and ask all hosts, 32 at a time. Level, format, sample and ring are the product's settings, taken from the environment; an unknown or wrong one ends the process at its start.

--- /dev/null
+++ b/io/agatecontrol/explain.go
@@ -0,0 +1,138 @@
+package agatecontrol
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"agategate/io/agatelog"
+	"agategate/io/agateops"
+	"agategate/io/agatewire"
+)
+
+const (
+	// explainTime bounds the question to one entry host, explainHosts the
+	// number of hosts that are asked at once, and explainMost the bytes of one
+	// answer.
+	explainTime  = time.Second
+	explainHosts = 32
+	explainMost  = 1 << 20
+)
+
+// explain asks every entry host for its decisions on a request.
+func (c *Control) explain(ctx context.Context, request string) agateops.ExplainResult {
+	if _, err := c.read(ctx); err != nil {
+		return agateops.ExplainResult{Reply: c.failedRead(ctx, err)}
+	}
+	out := agateops.ExplainResult{Reply: agateops.Reply{Outcome: agateops.Done}}
+	var mu sync.Mutex
+	var asks sync.WaitGroup
+	slots := make(chan struct{}, explainHosts)
+	ask := func(host string, decisions func() ([]agatelog.Decision, error)) {
+		asks.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			list, err := decisions()
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil:
+				out.Missing = append(out.Missing, host)
+			case len(list) > 0:
+				out.Hosts = append(out.Hosts, agateops.HostDecisions{Host: host, Decisions: list})
+			}
+		})
+	}
+	now := time.Now()
+	for _, h := range c.sessions.all() {
+		if now.Sub(h.at) <= sessionLease {
+			ask(h.host, func() ([]agatelog.Decision, error) { return c.askDecisions(ctx, h.beat.Peer, request) })
+		}
+	}
+	for _, h := range c.presence.all(now) {
+		if h.admin.IsValid() {
+			ask(h.name, func() ([]agatelog.Decision, error) { return getDecisions(ctx, h.admin, request) })
+		}
+	}
+	asks.Wait()
+	return out
+}
+
+// getDecisions asks an entry host of a routing plan.
+func getDecisions(ctx context.Context, admin netip.AddrPort, request string) ([]agatelog.Decision, error) {
+	ctx, cancel := context.WithTimeout(ctx, explainTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin.String()+"/v1/explain/"+url.PathEscape(request), nil)
+	if err != nil {
+		return nil, fmt.Errorf("agatecontrol: explain: %w", err)
+	}
+	req.Close = true // hosts are asked too seldom to keep a connection
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("agatecontrol: explain: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }() // the body is read or of no use
+	if resp.StatusCode == http.StatusNotFound {
+		return nil, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("agatecontrol: explain: %s from %s", resp.Status, admin)
+	}
+	var body struct {
+		Decisions []agatelog.Decision `json:"decisions"`
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, explainMost)).Decode(&body); err != nil {
+		return nil, fmt.Errorf("agatecontrol: explain: %w", err)
+	}
+	return body.Decisions, nil
+}
+
+func (c *Control) askDecisions(ctx context.Context, peer, request string) ([]agatelog.Decision, error) {
+	addr, err := netip.ParseAddrPort(peer)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := c.dialer.Conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, explainTime)
+	defer cancel()
+	reply, err := agatewire.NewPeerClient(conn).Explain(ctx, &agatewire.ExplainAsk{Sender: c.identity(), Request: request})
+	c.dialer.Report(addr, err)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]agatelog.Decision, 0, len(reply.Decisions))
+	for _, d := range reply.Decisions {
+		out = append(out, agatelog.Decision{
+			Time:    time.Unix(0, d.Time),
+			Request: request,
+			Service: d.Service,
+			Kind:    agatelog.Kind(d.Kind),
+			Choice:  d.Choice,
+			Reason:  d.Reason,
+			Outcome: agatelog.Outcome(d.Outcome),
+			Took:    time.Duration(d.Took),
+
+			Action:     d.Action,
+			Considered: fromWireCandidates(d.Considered),
+			Compared:   int(d.Compared),
+		})
+	}
+	return out, nil
+}
+
+func fromWireCandidates(list []*agatewire.Candidate) []agatelog.Candidate {
+	out := make([]agatelog.Candidate, 0, len(list))
+	for _, c := range list {
+		out = append(out, agatelog.Candidate{Name: c.Name, Cost: time.Duration(c.Cost), Note: c.Note})
+	}
+	return out
+}
--- a/io/agatecontrol/operate.go
+++ b/io/agatecontrol/operate.go
@@ -10,15 +10,10 @@
 	"agategate/core/agateplan"
 	"agategate/core/agatequorum"
 	"agategate/core/agatestate"
-	"agategate/io/agatelog"
 	"agategate/io/agateops"
 	"agategate/io/agatereplica"
-	"agategate/io/agatewire"
 )
 
-// explainTime bounds the question to one entry host.
-const explainTime = time.Second
-
 // ops connects the operators' interface.
 func (c *Control) ops() agateops.Config {
 	return agateops.Config{
@@ -290,76 +285,3 @@
 	}
 	return r.AddLearner(ctx, reply.Id, addr)
 }
-
-// explain asks every entry host for its decisions on a request.
-func (c *Control) explain(ctx context.Context, request string) agateops.ExplainResult {
-	if _, err := c.read(ctx); err != nil {
-		return agateops.ExplainResult{Reply: c.failedRead(ctx, err)}
-	}
-	out := agateops.ExplainResult{Reply: agateops.Reply{Outcome: agateops.Done}}
-	var mu sync.Mutex
-	var asks sync.WaitGroup
-	now := time.Now()
-	for _, h := range c.sessions.all() {
-		if now.Sub(h.at) > sessionLease {
-			continue
-		}
-		asks.Go(func() {
-			decisions, err := c.askDecisions(ctx, h.beat.Peer, request)
-			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case err != nil:
-				out.Missing = append(out.Missing, h.host)
-			case len(decisions) > 0:
-				out.Hosts = append(out.Hosts, agateops.HostDecisions{Host: h.host, Decisions: decisions})
-			}
-		})
-	}
-	asks.Wait()
-	return out
-}
-
-func (c *Control) askDecisions(ctx context.Context, peer, request string) ([]agatelog.Decision, error) {
-	addr, err := netip.ParseAddrPort(peer)
-	if err != nil {
-		return nil, err
-	}
-	conn, err := c.dialer.Conn(addr)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, explainTime)
-	defer cancel()
-	reply, err := agatewire.NewPeerClient(conn).Explain(ctx, &agatewire.ExplainAsk{Sender: c.identity(), Request: request})
-	c.dialer.Report(addr, err)
-	if err != nil {
-		return nil, err
-	}
-	out := make([]agatelog.Decision, 0, len(reply.Decisions))
-	for _, d := range reply.Decisions {
-		out = append(out, agatelog.Decision{
-			Time:    time.Unix(0, d.Time),
-			Request: request,
-			Service: d.Service,
-			Kind:    agatelog.Kind(d.Kind),
-			Choice:  d.Choice,
-			Reason:  d.Reason,
-			Outcome: agatelog.Outcome(d.Outcome),
-			Took:    time.Duration(d.Took),
-
-			Action:     d.Action,
-			Considered: fromWireCandidates(d.Considered),
-			Compared:   int(d.Compared),
-		})
-	}
-	return out, nil
-}
-
-func fromWireCandidates(list []*agatewire.Candidate) []agatelog.Candidate {
-	out := make([]agatelog.Candidate, 0, len(list))
-	for _, c := range list {
-		out = append(out, agatelog.Candidate{Name: c.Name, Cost: time.Duration(c.Cost), Note: c.Note})
-	}
-	return out
-}
--- a/io/agatecontrol/presence.go
+++ b/io/agatecontrol/presence.go
@@ -41,6 +41,7 @@
 	region string
 	domain string
 	caller netip.AddrPort
+	admin  netip.AddrPort // for operators, if the host has one
 	ready  bool
 	epoch  uint64
 	at     time.Time
@@ -83,7 +84,12 @@
 	if err != nil {
 		return
 	}
+	admin, err := netip.ParseAddrPort(ask.Admin)
+	if err != nil {
+		admin = netip.AddrPort{} // only the first message of a stream has it
+	}
 	p.add(watcher{
+		admin:  admin,
 		name:   ask.Sender.GetHost(),
 		region: ask.Region,
 		domain: ask.Domain,
@@ -110,6 +116,9 @@
 		p.opened = w.at
 		p.settled = false
 	}
+	if known && !w.admin.IsValid() {
+		w.admin = old.admin
+	}
 	p.hosts[w.name] = w
 }
 
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -26,6 +26,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -38,6 +39,7 @@
 	"agategate/core/agatebalance"
 	"agategate/core/agateplan"
 	"agategate/io/agatelink"
+	"agategate/io/agatelog"
 	"agategate/io/agatemetrics"
 	"agategate/io/agateupstream"
 )
@@ -91,7 +93,11 @@
 	// BodyMemory bounds the bodies of requests in progress, in bytes. The
 	// default is 64 MiB.
 	BodyMemory int64
-	Log        hclog.Logger
+	// Admin is the address of Handler, if it is served. Control replicas ask
+	// there for the decisions on a request.
+	Admin netip.AddrPort
+	// Log receives lines and keeps decisions. The default writes nothing.
+	Log *agatelog.Log
 	// Metrics may be nil.
 	Metrics *agatemetrics.Set
 }
@@ -143,7 +149,7 @@
 // Start listens for callers and begins to watch the control group.
 func Start(cfg Config) (*Front, error) {
 	if cfg.Log == nil {
-		cfg.Log = hclog.NewNullLogger()
+		cfg.Log = agatelog.New(agatelog.Config{Output: io.Discard})
 	}
 	if cfg.Connections <= 0 {
 		cfg.Connections = defaultConnections
@@ -155,7 +161,7 @@
 	cfg.Balance.Regions = cfg.Regions
 	f := &Front{
 		cfg:   cfg,
-		log:   cfg.Log,
+		log:   cfg.Log.Logger(),
 		epoch: newEpoch(),
 		words: cfg.Words.withDefaults(),
 		table: agatebalance.New(cfg.Balance),
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -232,7 +232,11 @@
 		return err
 	}
 	begun := time.Now()
-	if err := s.Send(l.ask(w)); err != nil {
+	first := l.ask(w)
+	if admin := l.f.cfg.Admin; admin.IsValid() {
+		first.Admin = admin.String()
+	}
+	if err := s.Send(first); err != nil {
 		return err
 	}
 	replies := make(chan error, 1)
--- a/io/agatelog/log.go
+++ b/io/agatelog/log.go
@@ -94,29 +94,38 @@
 // Skipped returns the number of lines that sampling left out.
 func (l *Log) Skipped() uint64 { return l.skipped.Load() }
 
-// Record keeps a decision and writes its line unless it is sampled out. The
-// decision and its slice stay the caller's. A zero Time is recorded as the
-// time of the call.
-func (l *Log) Record(d *Decision) {
+// Keep keeps a decision for Explain without a line.
+func (l *Log) Keep(d *Decision) { l.keep(d) }
+
+// keep reports whether the decision is routine.
+func (l *Log) keep(d *Decision) (routine bool) {
 	at := d.Time
 	if at.IsZero() {
 		at = l.now()
 	}
 	if d.routine() {
 		l.routine.add(d, at)
-		if l.skips(d.Request) {
-			l.skipped.Add(1)
-			return
-		}
-	} else {
-		l.kept.add(d, at)
+		return true
+	}
+	l.kept.add(d, at)
+	return false
+}
+
+// Record keeps a decision and writes its line unless it is sampled out. The
+// decision and its slice stay the caller's. A zero Time is recorded as the
+// time of the call.
+func (l *Log) Record(d *Decision) {
+	if l.keep(d) && l.Skips(d.Request) {
+		l.skipped.Add(1)
+		return
 	}
 	l.write(d)
 }
 
-// skips reports whether a line is sampled out. All routine decisions of one
-// request share one answer on all hosts, so a written request is complete.
-func (l *Log) skips(request string) bool {
+// Skips reports whether the routine lines of a request are sampled out. All
+// of one request share one answer on all hosts, so a written request is
+// complete.
+func (l *Log) Skips(request string) bool {
 	limit := l.skip.Load()
 	if limit == 0 || limit == math.MaxUint64 {
 		return limit != 0
--- a/io/agatesettings/key.go
+++ b/io/agatesettings/key.go
@@ -11,7 +11,7 @@
 const prefix = "AGATEGATE_"
 
 // Settings is either kind of settings.
-type Settings interface{ Entry | Control }
+type Settings interface{ Entry | Control | Adapted }
 
 // Key describes one key of the settings.
 type Key struct {
--- a/io/agatesettings/settings.go
+++ b/io/agatesettings/settings.go
@@ -122,6 +122,12 @@
 	Ring   int     `toml:"ring" default:"4096" unit:"decisions" min:"16" max:"1000000" help:"decisions kept in memory for explain"`
 }
 
+// Adapted is the settings of a process whose deployment has a settings format
+// of its own: what that format has no keys for.
+type Adapted struct {
+	Log Log `toml:"log"`
+}
+
 // Skip returns the share of routine decisions that are not written.
 func (l Log) Skip() float64 { return 1 - l.Sample }
 
--- a/io/agatesettings/settings_test.go
+++ b/io/agatesettings/settings_test.go
@@ -26,10 +26,16 @@
 			ar, err := txtar.ParseFile(file)
 			assert.NilError(t, err)
 			var got string
-			if strings.HasPrefix(filepath.Base(file), "entry") {
+			kind, _, _ := strings.Cut(filepath.Base(file), "-")
+			switch kind {
+			case "entry":
 				got = load[agatesettings.Entry](ar)
-			} else {
+			case "control":
 				got = load[agatesettings.Control](ar)
+			case "adapted":
+				got = load[agatesettings.Adapted](ar)
+			default:
+				t.Fatalf("%s is of no known kind", file)
 			}
 			want := &ar.Files[len(ar.Files)-1]
 			if flag.Lookup("update").Value.String() == "true" {
