healing: decisions in core/agateheal, played by the quorum's simulation

As a package of their own, played by the quorum's simulation with its oracle (lost disks at most two, freezes, splits, replaced hosts), they showed three faults:

- A replica with an empty disk asked the three seeds only.
It now asks the leader whose address a replica names.
- A silent voter was removed before the learner got its vote.
The learner now becomes the sixth voter first; of six, two lost disks leave the majority of four.
For this order the quorum counts a learner among those that answer when it replaces a silent voter (Change.Replacing); operators' promotions keep the stricter rule.
- Two replaced replicas took more than 4 s, after which the next two may be lost, because a voter had to be silent for 4 s.

Ruled out: promoting every learner at once (a group of seven needs four, and its two extra voters may be the ones that are wiped next); removing only voters whose death is known (a host that is replaced at a new address never is).

--- a/core/agatequorum/change.go
+++ b/core/agatequorum/change.go
@@ -28,6 +28,11 @@
 	ID   uint64
 	// Address is used by AddLearner.
 	Address netip.AddrPort
+	// Replacing is used by Promote: a silent voter is removed right after, so
+	// the learner itself counts among those that must answer. The group then
+	// bears the loss of as many disks as before, but none may fall silent until
+	// the removal.
+	Replacing bool
 }
 
 // ChangeMembers adds a membership change to the log. It is in force at once
@@ -73,7 +78,7 @@
 			return nil, Behind
 		}
 		next[i].Learner = false
-		if !c.safeToPromote(ms, next, ch.ID) {
+		if !c.safeToPromote(ms, next, ch) {
 			return nil, Unsafe
 		}
 	case Remove:
@@ -117,9 +122,13 @@
 
 // safeToPromote reports whether next keeps a majority if the promoted replica
 // is lost at once. With a voter down, four voters of which three answer are
-// worse than three of which two do. A group whose voters all answer may grow.
-func (c *Core) safeToPromote(ms, next Members, id uint64) bool {
-	n := c.answering(ms, id)
+// worse than three of which two do. A group whose voters all answer may grow,
+// and so may one in which the promoted replica replaces a silent voter.
+func (c *Core) safeToPromote(ms, next Members, ch Change) bool {
+	n := c.answering(ms, ch.ID)
+	if ch.Replacing {
+		n++ // it answers, since it caught up
+	}
 	return n == ms.Voters() || n > next.Voters()/2
 }
 
--- a/core/agatequorum/sim_test.go
+++ b/core/agatequorum/sim_test.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"encoding/binary"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -48,6 +49,8 @@
 	changes   []proposed
 	lostAt    time.Duration
 	oracle    oracle
+	// onMessage is called for each message that a replica receives.
+	onMessage func(n *simNode, m agatequorum.Message)
 }
 
 type event struct {
@@ -77,6 +80,7 @@
 type simNode struct {
 	s         *sim
 	id        uint64
+	addr      netip.AddrPort
 	core      *agatequorum.Core
 	bootstrap agatequorum.Members
 	disk      agatequorum.Saved
@@ -184,7 +188,12 @@
 	}
 	for range copies {
 		d := max(s.delays[m.From], s.delays[m.To]) + time.Duration(s.rng.Float64()*float64(s.delay))
-		s.at(d, to, 0, func() { to.core.Step(to.clock(), m) })
+		s.at(d, to, 0, func() {
+			if s.onMessage != nil {
+				s.onMessage(to, m)
+			}
+			to.core.Step(to.clock(), m)
+		})
 	}
 }
 
@@ -411,7 +420,11 @@
 }
 
 func (n *simNode) change(kind agatequorum.ChangeKind, id uint64) agatequorum.Outcome {
-	o := n.core.ChangeMembers(n.clock(), agatequorum.Change{Kind: kind, ID: id})
+	return n.changeMembers(agatequorum.Change{Kind: kind, ID: id})
+}
+
+func (n *simNode) changeMembers(ch agatequorum.Change) agatequorum.Outcome {
+	o := n.core.ChangeMembers(n.clock(), ch)
 	if st := n.core.Status(); o == agatequorum.Accepted {
 		n.s.changes = append(n.s.changes, proposed{index: st.Last, term: st.Term, members: st.Members})
 	}
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -31,6 +31,7 @@
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc"
 
+	"agategate/core/agateheal"
 	"agategate/core/agatequorum"
 	"agategate/core/agatestate"
 	"agategate/internal/agateserve"
@@ -100,7 +101,7 @@
 	presence presence
 	packed   packedPlan
 	changed  signal
-	heardAt  memberTimes
+	healer   *agateheal.Healer
 	heardUp  heardTimes
 	time     stateTime
 	accepted acceptedTimes
@@ -146,6 +147,11 @@
 		revised:  make(chan struct{}, 1),
 		failed:   make(chan struct{}),
 	}
+	healing := agateheal.Config{}
+	if cfg.Heal {
+		healing.Voters = healVoters
+	}
+	c.healer = agateheal.New(healing)
 	cfg.Metrics.Declare("control")
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	store, saved, err := agatestore.Open(agatestore.Config{Dir: cfg.Settings.Data, Logger: cfg.Logger})
--- a/io/agatecontrol/group.go
+++ b/io/agatecontrol/group.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"agategate/core/agateheal"
 	"agategate/core/agatequorum"
 	"agategate/io/agateclient"
 	"agategate/io/agatereplica"
@@ -26,12 +27,9 @@
 	// healVoters is the number of voters of a group that heals itself. Five
 	// survive the loss of two.
 	healVoters = 5
-	// deadAfter is how long a voter must be silent before a learner takes its
-	// place. Shorter pauses end by themselves.
-	deadAfter = 4 * time.Second
-	// rejoinAfter is how long a voter knows no leader before it asks whether
-	// it is still a member.
-	rejoinAfter = 3 * time.Second
+	// repairMost bounds the changes of one round: two replicas that are
+	// replaced need four.
+	repairMost = 8
 )
 
 // findGroup returns the first membership of a new group, or none when the
@@ -163,17 +161,26 @@
 	return reply
 }
 
+// view is what the healing duties look at.
+func (c *Control) view(st agatereplica.Status) agateheal.View {
+	return agateheal.View{
+		Now:     time.Now(),
+		Self:    c.id,
+		Term:    st.Term,
+		Leader:  st.Leader,
+		Members: st.Members,
+		Fresh:   c.fresh.Load(),
+	}
+}
+
 // join asks the group to admit this replica while it has no vote, or while it
 // knows no leader, as when it was removed during a long pause.
 func (c *Control) join(ctx context.Context) {
-	r := c.replica.Load()
-	st := r.Status()
+	st := c.replica.Load().Status()
 	if st.Members.Voter(c.id) && st.Leader != 0 {
 		c.fresh.Store(false)
-		c.heardAt.followed(time.Now())
-		return
 	}
-	if !c.fresh.Load() && !c.heardAt.lostFor(time.Now(), rejoinAfter) {
+	if !c.healer.Joins(c.view(st)) {
 		return
 	}
 	ask := &agatewire.JoinAsk{
@@ -184,19 +191,28 @@
 			Address: c.cfg.Settings.Peer.String(),
 		},
 	}
-	for _, addr := range c.replicas() {
-		conn, err := c.dialer.Conn(addr)
-		if err != nil {
-			continue
-		}
-		one, cancel := context.WithTimeout(ctx, searchTime)
-		reply, err := agatewire.NewQuorumClient(conn).Join(one, ask)
-		cancel()
-		c.dialer.Report(addr, err)
-		if err == nil && reply.Leader == "" {
-			return
-		}
+	agateheal.Ask(c.replicas(), func(addr netip.AddrPort) (leader netip.AddrPort, done bool) {
+		return c.askJoin(ctx, addr, ask)
+	})
+}
+
+// askJoin asks one replica. One that does not lead may name the leader.
+func (c *Control) askJoin(ctx context.Context, addr netip.AddrPort, ask *agatewire.JoinAsk) (leader netip.AddrPort, done bool) {
+	conn, err := c.dialer.Conn(addr)
+	if err != nil {
+		return netip.AddrPort{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, searchTime)
+	defer cancel()
+	reply, err := agatewire.NewQuorumClient(conn).Join(ctx, ask)
+	c.dialer.Report(addr, err)
+	if err != nil || reply.Leader == "" {
+		return netip.AddrPort{}, err == nil
 	}
+	if leader, err = netip.ParseAddrPort(reply.Leader); err != nil || leader == c.cfg.Settings.Peer {
+		return netip.AddrPort{}, false // it knows no leader
+	}
+	return leader, false
 }
 
 // replicas returns the addresses of the other replicas that are known: the
@@ -244,88 +260,57 @@
 	case err != nil:
 		return nil, unavailable("join: %v", err)
 	default:
-		c.placed("replica admitted as learner", agatequorum.Member{ID: ask.Replica.GetId(), Address: addr}, "joined")
+		c.placed(agatequorum.AddLearner, agatequorum.Member{ID: ask.Replica.GetId(), Address: addr}, "joined")
 	}
 	return reply, nil
 }
 
-// repair heals the membership, one change at a time. A replica whose address
-// belongs to another identity now is removed first: its vote is lost, and
-// promoting the new one beside it would need a larger majority of the same
-// number of live replicas. The new one gets its vote once it holds a full
-// durable copy.
+// repair heals the membership, one change at a time.
 func (c *Control) repair(ctx context.Context) {
-	if !c.leads() {
-		return
-	}
-	r := c.replica.Load()
-	members := r.Status().Members
-	for _, m := range members {
-		if m.ID == c.id || !c.replaced(members, m) {
-			continue
-		}
-		if err := r.Remove(ctx, m.ID); err == nil {
-			c.placed("replaced replica removed", m, "replaced")
-		}
-	}
-	for _, m := range r.Status().Members {
-		if !m.Learner {
-			continue
-		}
-		if c.cfg.Heal && !c.makeRoom(ctx, r) {
-			continue
-		}
-		if err := r.Promote(ctx, m.ID); err == nil {
-			c.placed("learner promoted", m, "full-copy")
+	for range repairMost {
+		if !c.leads() || !c.repairOnce(ctx) {
+			return
 		}
 	}
 }
 
-// makeRoom reports whether a learner may become a voter without more than
-// healVoters. It removes a voter that has been silent for a long time when a
-// learner waits to take its place. The removal costs no tolerance: a majority
-// of the rest is no larger than one of the whole, and the dead one did not
-// count towards it.
-func (c *Control) makeRoom(ctx context.Context, r *agatereplica.Replica) bool {
+// repairOnce reports whether the membership changed.
+func (c *Control) repairOnce(ctx context.Context) bool {
+	r := c.replica.Load()
 	st := r.Status()
-	if st.Members.Voters() < healVoters {
-		return true
-	}
-	now := time.Now()
-	for _, m := range st.Members {
-		if m.Learner || m.ID == c.id || !c.heardAt.silent(now, st.Term, m.ID, deadAfter) {
-			continue
+	for _, step := range c.healer.Steps(c.view(st), c.holder) {
+		m, _ := st.Members.Find(step.Change.ID)
+		err := r.Change(ctx, step.Change)
+		if err == nil {
+			c.placed(step.Change.Kind, m, step.Reason)
+			return true
 		}
-		if err := r.Remove(ctx, m.ID); err != nil {
-			c.log.Warn("silent replica not removed", "kind", "placement", "choice", m.Address, "id", m.ID, "error", err)
-			return false
+		if step.Change.Kind == agatequorum.Remove {
+			c.log.Warn("replica not removed", "kind", "placement", "choice", m.Address, "id", m.ID, "reason", step.Reason, "error", err)
 		}
-		c.placed("silent replica removed", m, "silent")
-		return true
 	}
 	return false
 }
 
-// replaced reports whether the process at a member's address has another
-// identity now, which is a member too.
-func (c *Control) replaced(members agatequorum.Members, old agatequorum.Member) bool {
-	shared := false
-	for _, m := range members {
-		shared = shared || (m.ID != old.ID && m.Address == old.Address)
-	}
-	if !shared {
-		return false
-	}
-	reply, err := c.askGroup(old.Address)
-	if err != nil || reply.Id == old.ID {
-		return false
-	}
-	_, known := members.Find(reply.Id)
-	return known
+// holder returns the identity of the replica at an address.
+func (c *Control) holder(addr netip.AddrPort) (uint64, bool) {
+	reply, err := c.askGroup(addr)
+	if err != nil {
+		return 0, false
+	}
+	return reply.Id, true
 }
 
-func (c *Control) placed(what string, m agatequorum.Member, reason string) {
-	c.log.Info(what, "kind", "placement", "choice", m.Address, "id", m.ID, "reason", reason)
+// placed writes the line of a change of the membership.
+func (c *Control) placed(kind agatequorum.ChangeKind, m agatequorum.Member, reason string) {
+	text := "replica removed"
+	switch kind {
+	case agatequorum.AddLearner:
+		text = "replica admitted as learner"
+	case agatequorum.Promote:
+		text = "learner promoted"
+	}
+	c.log.Info(text, "kind", "placement", "choice", m.Address, "id", m.ID, "reason", reason)
 }
 
 // addressOf returns where a replica is reached: as the membership says, or as
--- a/io/agatereplica/ask.go
+++ b/io/agatereplica/ask.go
@@ -69,25 +69,26 @@
 // AddLearner adds a replica without a vote and returns once that is
 // committed.
 func (r *Replica) AddLearner(ctx context.Context, id uint64, address netip.AddrPort) error {
-	return r.change(ctx, agatequorum.Change{Kind: agatequorum.AddLearner, ID: id, Address: address})
+	return r.Change(ctx, agatequorum.Change{Kind: agatequorum.AddLearner, ID: id, Address: address})
 }
 
 // Promote gives a learner its vote. It waits until the learner holds a full
 // durable copy and the promotion is committed, or until ctx ends. A voter that
 // was lost is removed first.
 func (r *Replica) Promote(ctx context.Context, id uint64) error {
-	return r.change(ctx, agatequorum.Change{Kind: agatequorum.Promote, ID: id})
+	return r.Change(ctx, agatequorum.Change{Kind: agatequorum.Promote, ID: id})
 }
 
 // Remove removes a replica and returns once that is committed. A leader that
 // removes itself hands the lead over.
 func (r *Replica) Remove(ctx context.Context, id uint64) error {
-	return r.change(ctx, agatequorum.Change{Kind: agatequorum.Remove, ID: id})
+	return r.Change(ctx, agatequorum.Change{Kind: agatequorum.Remove, ID: id})
 }
 
-// change tries a membership change until it is no longer early. When ctx ends
-// first, the error also says why the change was early.
-func (r *Replica) change(ctx context.Context, ch agatequorum.Change) error {
+// Change carries out a membership change once it is no longer early and returns
+// when it is committed. When ctx ends first, the error also says why the change
+// was early.
+func (r *Replica) Change(ctx context.Context, ch agatequorum.Change) error {
 	var early error
 	for {
 		a := newAsk(askChange)
