fleet: last word of a silent upstream counts, new ones are not silent

In each an upstream was announced at a replica that does not lead; the leader looked for silent upstreams before it was told, found no time for the new one and gave up on it 0.3 s after its start. Then the upstream said that it leaves. A row that is gone already, if only for silence, was not changed by that; the order was acknowledged, and hosts to which it still answered went on to use it for more than the 2.5 s allowed.

An upstream that is new to the look for silent ones, or back, counts as heard then. A last word ends an upstream that was given up on. The oracle of TestFleetAgainstOracle had the same gap as the code and has the rule now.

--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -40,8 +40,8 @@
 	// Cold is how much longer it stays cold, counted from the command.
 	Cold time.Duration
 	// Lapsed, with Gone, means that it was given up on for its silence. Hosts
-	// to which it still answers go on to use it, and a later announcement of
-	// the same process brings it back.
+	// to which it still answers go on to use it, a later announcement of the
+	// same process brings it back, and its last word ends it for good.
 	Lapsed bool
 }
 
@@ -165,7 +165,10 @@
 	f := &m.fleet
 	old := f.rows[up.ID]
 	if up.leaves() {
-		if old == nil || old.up.Gone || (up.Born != 0 && up.Born < old.up.Born) {
+		if old == nil || (up.Born != 0 && up.Born < old.up.Born) {
+			return false, true
+		}
+		if old.up.Gone && (!old.up.Lapsed || up.Lapsed) {
 			return false, true
 		}
 		old.up.Gone = true
--- a/core/agatestate/fleet_test.go
+++ b/core/agatestate/fleet_test.go
@@ -24,7 +24,8 @@
 func (f *fleetModel) announce(up agatestate.Upstream) {
 	old, known := f.ups[up.ID]
 	if up.Gone && up.Sequence == 0 {
-		if known && !old.Gone && (up.Born == 0 || up.Born >= old.Born) {
+		stays := !old.Gone || (old.Lapsed && !up.Lapsed) // a silent one may still leave
+		if known && stays && (up.Born == 0 || up.Born >= old.Born) {
 			old.Gone, old.Lapsed = true, up.Lapsed
 			f.ups[up.ID] = old
 		}
--- a/io/agatecontrol/fleet.go
+++ b/io/agatecontrol/fleet.go
@@ -88,7 +88,7 @@
 // still lives.
 func changed(known, up *agatestate.Upstream) bool {
 	if up.Gone {
-		return !known.Gone
+		return !known.Gone || known.Lapsed
 	}
 	if up.Born < known.Born || (up.Born == known.Born && up.Sequence <= known.Sequence) {
 		return false
--- a/io/agatecontrol/lapse.go
+++ b/io/agatecontrol/lapse.go
@@ -30,6 +30,8 @@
 	mu    sync.Mutex
 	last  map[string]time.Time
 	fresh map[string]bool // heard here since the leader was last told
+	// live is the upstreams of the last look for silent ones.
+	live  map[string]bool
 	term  uint64
 	since time.Time // when silence was first looked for in this term
 }
@@ -74,13 +76,22 @@
 }
 
 // silent returns the upstreams that were not heard for lapseAfter. A new
-// leader waits as long before it gives up on anyone.
+// leader waits as long before it gives up on anyone. An upstream that is new or
+// back counts as heard: the replica that heard it may not have told yet.
 func (h *heardTimes) silent(now time.Time, term uint64, ups []agatestate.Upstream) []agatestate.Upstream {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.term != term {
 		h.term, h.since = term, now
 	}
+	live := make(map[string]bool, len(ups))
+	for _, up := range ups {
+		live[up.ID] = true
+		if !h.live[up.ID] {
+			h.set(up.ID, now)
+		}
+	}
+	h.live = live
 	if now.Sub(h.since) < lapseAfter {
 		return nil
 	}
