control: callers of a large region spread over all its entry hosts

Cause: the platform's callers take 64 addresses, and the adapter cut the list of hosts, sorted by name, at that number.

Each caller gets its own 64 by rendezvous hash, so one host that leaves changes one place. Test: TestCallersShareLargeRegion.

--- a/io/agatecontrol/presence.go
+++ b/io/agatecontrol/presence.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"agategate/io/agatewire"
 )
 
@@ -239,11 +241,24 @@
 // Entries returns the addresses for callers of the entry hosts that a caller
 // in a region should use: those of its own region, and all others as well when
 // the region lost half of its hosts or has fewer than two. It returns none
-// while the hosts come back after all were lost.
-func (c *Control) Entries(region string) []netip.AddrPort {
+// while the hosts come back after all were lost. Of more than most hosts, each
+// caller gets its own part, which changes only with the hosts.
+func (c *Control) Entries(region, caller string, most int) []netip.AddrPort {
 	var out []netip.AddrPort
-	for _, h := range c.presence.entries(time.Now(), region) {
+	for _, h := range part(c.presence.entries(time.Now(), region), caller, most) {
 		out = append(out, h.caller)
 	}
 	return out
 }
+
+// part returns at most as many hosts, chosen by the rendezvous hash of the
+// caller, so that the callers of a large region spread over all its hosts.
+func part(hosts []watcher, caller string, most int) []watcher {
+	if len(hosts) <= most {
+		return hosts
+	}
+	hosts = slices.Clone(hosts)
+	weight := func(h watcher) uint64 { return xxhash.Sum64String(caller + "\x00" + h.name) }
+	slices.SortFunc(hosts, func(x, y watcher) int { return cmp.Compare(weight(x), weight(y)) })
+	return hosts[:most]
+}
--- a/io/agatecontrol/presence_test.go
+++ b/io/agatecontrol/presence_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -85,6 +86,37 @@
 	}
 }
 
+// Guards against hosts of a large region that no caller is ever told, and
+// against lists that change without a change of the hosts, since callers close
+// their connections to hosts that are not named any more.
+func TestCallersShareLargeRegion(t *testing.T) {
+	const hosts, most, callers = 200, 64, 50
+	var all []watcher
+	for i := range hosts {
+		all = append(all, watcher{name: fmt.Sprintf("entry-%d", i)})
+	}
+	named := map[string]int{}
+	for i := range callers {
+		caller := fmt.Sprintf("10.0.0.%d", i)
+		list := part(all, caller, most)
+		assert.Equal(t, len(list), most)
+		fewer := part(all[:hosts-1], caller, most)
+		moved := 0
+		for _, h := range list {
+			named[h.name]++
+			if !slices.ContainsFunc(fewer, func(o watcher) bool { return o.name == h.name }) {
+				moved++
+			}
+		}
+		assert.Assert(t, moved <= 1, "one host that leaves changes one place")
+	}
+	assert.Equal(t, len(named), hosts)
+	for name, n := range named {
+		assert.Assert(t, n <= 3*callers*most/hosts, "%s is named %d times", name, n)
+	}
+	assert.Equal(t, len(part(all[:most], "10.0.0.1", most)), most)
+}
+
 func (s *presenceScript) at(t *testing.T, text string) time.Time {
 	seconds, err := strconv.ParseFloat(text, 64)
 	assert.NilError(t, err)
