--- a/io/agatecontrol/presence.go
+++ b/io/agatecontrol/presence.go
@@ -61,13 +61,13 @@
 	// came or became ready, and settled whether the list is given out since.
 	opened, grown time.Time
 	settled       bool
-	regions       map[string]census
+	peaks         map[string]peak
 	list          hostList
 }
 
-// census is the largest number of ready hosts of a region, and when it last
+// peak is the largest number of ready hosts of a region, and when it last
 // had that many.
-type census struct {
+type peak struct {
 	n  int
 	at time.Time
 }
@@ -187,19 +187,19 @@
 	return &p.list
 }
 
-// remember updates the census of each region.
+// remember updates the peak of each region.
 func (p *presence) remember(now time.Time, count map[string]int) {
-	if p.regions == nil {
-		p.regions = make(map[string]census)
+	if p.peaks == nil {
+		p.peaks = make(map[string]peak)
 	}
 	for region, n := range count {
-		if _, ok := p.regions[region]; !ok {
-			p.regions[region] = census{n: n, at: now}
+		if _, ok := p.peaks[region]; !ok {
+			p.peaks[region] = peak{n: n, at: now}
 		}
 	}
-	for region, most := range p.regions {
+	for region, most := range p.peaks {
 		if n := count[region]; n >= most.n || now.Sub(most.at) > regionMemory {
-			p.regions[region] = census{n: n, at: now}
+			p.peaks[region] = peak{n: n, at: now}
 		}
 	}
 }
@@ -231,7 +231,7 @@
 			far = append(far, h)
 		}
 	}
-	enough := max(nearHosts, nearShare*float64(p.regions[region].n))
+	enough := max(nearHosts, nearShare*float64(p.peaks[region].n))
 	if float64(len(near)) >= enough {
 		return near
 	}
