--- a/core/agatebalance/sim_test.go
+++ b/core/agatebalance/sim_test.go
@@ -173,10 +173,6 @@
 	shiftWindow = 2 * time.Second
 	// shiftLeast is the number of requests from which a window says something.
 	shiftLeast = 50
-	// shiftFirst is the window up to which a service only begins: no upstream
-	// knows an object. More than 300 played days began so, and none broke the
-	// users' rule there.
-	shiftFirst = 3
 	simNear    = 2 * time.Millisecond
 	simFar     = 21 * time.Millisecond
 	simQueue   = 3 // requests per slot that an upstream lets wait
@@ -220,7 +216,7 @@
 	for _, windows := range s.ran {
 		for n, now := range windows {
 			before := windows[n-1]
-			if n <= shiftFirst || total(now) < shiftLeast || total(before) < shiftLeast {
+			if total(now) < shiftLeast || total(before) < shiftLeast {
 				continue
 			}
 			moved := 0.0
