agatebalance: estimate the first service times by their exact quantile

Cause: a quantile estimate started at its first sample and moved by 5% a sample, so one slow first response kept an upstream above minSlowness for dozens of responses.

The first five samples now give the exact quantile.

--- a/core/agatebalance/table_test.go
+++ b/core/agatebalance/table_test.go
@@ -199,3 +199,29 @@
 	table.Finish(later, first, agatebalance.Observation{Outcome: agatebalance.Failed})
 	assert.Assert(t, choose(table, later, nil).Upstream != first)
 }
+
+// Guards against an upstream that counts as slow because its first response was,
+// for example because it opened a connection: the requests for its objects would
+// go to upstreams that do not have them cached.
+func TestSlowFirstResponse(t *testing.T) {
+	table, now := newTable(), time.Unix(1, 0)
+	table.UpdateUpstreams(now, []agatebalance.UpstreamInfo{newInfo("u1"), newInfo("u2")}, true, nil)
+	preferred := choose(table, now, nil).Upstream
+	other := map[string]string{"u1": "u2", "u2": "u1"}[preferred]
+	respond := func(id string, latency time.Duration) {
+		table.Start(now, id)
+		table.Finish(now, id, agatebalance.Observation{Outcome: agatebalance.Answered, Latency: latency, RTT: time.Microsecond})
+	}
+	for range 20 {
+		respond(other, time.Millisecond)
+	}
+	respond(preferred, 27*time.Millisecond)
+	for range 4 {
+		respond(preferred, time.Millisecond)
+	}
+	idle := choose(table, now, nil)
+	table.Start(now, preferred)
+	d := choose(table, now, func(r *agatebalance.Request) { r.Tried = []string{other} })
+	assert.Equal(t, idle.Load, 0.0)
+	assert.Equal(t, d.Load, 0.25, "one request on four slots")
+}
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -40,6 +41,10 @@
 	serviceTimeQuantile = 0.3
 	// quantileStep is the step of quantile estimates, relative to the estimate.
 	quantileStep = 0.05
+	// quantileSeedSamples is the number of first samples whose exact quantile is
+	// used. Later ones only move the estimate by quantileStep, which takes dozens
+	// of samples to make up for a single high first one.
+	quantileSeedSamples = 5
 	// initialServiceTimeSeconds is assumed until there are responses.
 	initialServiceTimeSeconds = 0.08
 	// minServiceTimeSeconds keeps service times above 0: the round-trip time that
@@ -70,13 +75,14 @@
 type quantile struct {
 	value   float64
 	samples int
+	seed    [quantileSeedSamples]float64 // the first samples, sorted
 }
 
-// add moves the estimate by a small step towards the p-quantile.
+// add adds a sample to the estimate of the p-quantile.
 func (q *quantile) add(x, p float64) {
 	q.samples++
-	if q.samples == 1 {
-		q.value = x
+	if q.samples <= quantileSeedSamples {
+		q.addSeed(x, p)
 		return
 	}
 	step := quantileStep * q.value
@@ -87,6 +93,15 @@
 	}
 }
 
+// addSeed inserts one of the first samples and sets the estimate to their
+// p-quantile.
+func (q *quantile) addSeed(x, p float64) {
+	seed := q.seed[:q.samples]
+	seed[q.samples-1] = x
+	slices.Sort(seed)
+	q.value = seed[int(p*float64(q.samples))]
+}
+
 // upstream is the state of an upstream as seen by this host.
 type upstream struct {
 	info       UpstreamInfo
