agatebalance: limit overflow by each object's home region, from the first request on

On a region with a tenth of the slots and 71% of its objects at home elsewhere, the limit reacted to the noise of that share and kept requests in the region whose upstreams did not have their objects.

Change: the home of an object is the region of the first upstream of its preference order. Only requests that leave their home count, one by one instead of as a measured share, so the bound also holds for the sum of many hosts with few requests each. While requests are rejected, homes with room keep their part of the mix. Shed requests no longer lift the limit, and it holds from the first request on instead of from 3 s.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -124,7 +124,7 @@
 	now        time.Time
 	localBonus float64     // of the upstreams of this region, in ranks
 	candidates []candidate // by cost
-	local      bool        // a healthy upstream is in this region
+	home       string      // region of the first upstream in the preference order that is not down, if any
 
 	// The number of rejected candidates by cause. Those in busyCount are full, too
 	// slow for the target, above fallbackMaxLoad, or excluded by the overflow limit.
@@ -143,64 +143,118 @@
 	s := t.service(r.Service)
 	x := search{t: t, s: s, r: r, now: now, localBonus: t.localBonus(s), minBusySeconds: math.Inf(1)}
 	x.collectCandidates()
-	t.overflow.advance(now, !x.overflowLimited())
-	if c := x.sustainOverflow(); c != nil {
-		return x.accept(c)
+	c := x.choose()
+	if c == nil {
+		return x.reject()
 	}
+	s.overflow.record(x.leavesHome(c), x.retry())
+	return x.accept(c)
+}
+
+// retry reports whether the request has been sent before.
+func (x *search) retry() bool { return len(x.r.Tried) > 0 }
+
+// choose selects a candidate within the limits on the movement of load between
+// regions, or returns nil.
+func (x *search) choose() *candidate {
+	c := x.limitOverflow(x.first(func(*candidate) bool { return true }))
+	homes := &x.s.homes
+	if x.retry() {
+		if c == nil {
+			homes.revoke(x.now, x.home)
+		}
+		return c
+	}
+	homes.arrive(x.now, x.home, c != nil)
+	if c != nil && x.overflowLimited() && !homes.accept(x.home) {
+		x.busyCount++
+		return nil
+	}
+	return c
+}
+
+// limitOverflow replaces the cheapest candidate by another one, or nil, if the share
+// of requests that leave their home region would change too fast.
+func (x *search) limitOverflow(c *candidate) *candidate {
+	limited := x.overflowLimited()
+	o := &x.s.overflow
+	o.advance(x.now, !limited)
+	if c == nil {
+		return nil
+	}
+	o.want(x.leavesHome(c))
+	switch {
+	case !limited:
+		return c
+	case !x.leavesHome(c):
+		return x.sustainOverflow(c)
+	case o.mayLeave():
+		return c
+	}
+	return x.first(func(c *candidate) bool { return !x.leavesHome(c) })
+}
+
+// first returns the candidate with the lowest cost that has room and that allowed
+// permits, healthy ones first, or nil.
+func (x *search) first(allowed func(c *candidate) bool) *candidate {
+	x.busyCount, x.coldCount, x.lateCount = 0, 0, 0
 	for _, unhealthy := range []bool{false, true} {
 		for i := range x.candidates {
-			if c := &x.candidates[i]; c.unhealthy == unhealthy && x.overflowAllows(c) && x.hasRoom(c) {
-				return x.accept(c)
+			c := &x.candidates[i]
+			if c.unhealthy != unhealthy {
+				continue
+			}
+			if !allowed(c) {
+				x.busyCount++
+				continue
+			}
+			if x.hasRoom(c) {
+				return c
 			}
 		}
 	}
-	return x.reject()
+	return nil
 }
 
-// sustainOverflow returns a healthy upstream of another region with a free slot if
-// the share of requests sent there falls faster than allowed, or nil.
-func (x *search) sustainOverflow() *candidate {
-	if !x.overflowLimited() || !x.t.overflow.tooLow() {
-		return nil
+// sustainOverflow returns an upstream outside the request's home if the share
+// of requests that leave falls faster than allowed, or else c.
+func (x *search) sustainOverflow(c *candidate) *candidate {
+	if x.s.overflow.due < 1 {
+		return c
 	}
 	for i := range x.candidates {
-		if c := &x.candidates[i]; !c.u.local && !c.unhealthy && c.load < 1 && x.hasRoom(c) {
-			return c
+		other := &x.candidates[i]
+		if !x.leavesHome(other) || other.unhealthy || !x.hasRoom(other) {
+			continue
+		}
+		if x.s.overflow.mustLeave(other.cost - c.cost) {
+			return other
 		}
+		return c
 	}
-	return nil
+	return c
 }
 
-// overflowLimited reports whether the share of requests sent to other regions may
-// only change slowly.
-func (x *search) overflowLimited() bool {
-	return x.local && x.t.overflow.settled(x.now) && x.now.Sub(x.s.disruptedAt) > disruptionPeriod
-}
+// leavesHome reports whether a candidate is outside the request's home region.
+func (x *search) leavesHome(c *candidate) bool { return c.u.region != x.home }
 
-// overflowAllows reports whether the limit on the share of requests sent to other
-// regions permits an upstream.
-func (x *search) overflowAllows(c *candidate) bool {
-	if c.u.local || !x.overflowLimited() || !x.t.overflow.tooHigh() {
-		return true
-	}
-	x.busyCount++
-	return false
+// overflowLimited reports whether the share of requests that leave their home
+// region may only change slowly.
+func (x *search) overflowLimited() bool {
+	return x.home != "" && x.now.Sub(x.s.disruptedAt) > disruptionPeriod
 }
 
-// eligible reports whether an upstream may get the request at all.
-func (x *search) eligible(u *upstream) bool {
-	if u.info.Draining || slices.Contains(x.t.evacuated, u.info.Domain) || !x.r.Route.AllowsRegion(u.region) {
-		return false
-	}
-	return !slices.Contains(x.r.Tried, u.info.ID)
+// usable reports whether an upstream may get the request, unless it has been tried.
+func (x *search) usable(u *upstream) bool {
+	return !u.info.Draining && !slices.Contains(x.t.evacuated, u.info.Domain) && x.r.Route.AllowsRegion(u.region)
 }
 
-// collectCandidates collects the eligible upstreams, sorted by cost. It records a
-// disruption of the service if one of them is unresponsive.
+// collectCandidates collects the usable upstreams that have not been tried, sorted
+// by cost. It records a disruption of the service if a usable one is unresponsive.
 func (x *search) collectCandidates() {
 	x.candidates = make([]candidate, 0, len(x.s.upstreams))
 	for _, u := range x.s.upstreams {
-		if x.eligible(u) {
+		if x.usable(u) {
 			x.candidates = append(x.candidates, x.newCandidate(u))
 		}
 	}
@@ -216,12 +270,14 @@
 		if c.u.unresponsive(x.now) {
 			x.s.disruptedAt = x.now
 		}
-		if c.unhealthy {
-			continue
+		if x.home == "" && !c.u.down(x.now) {
+			x.home = c.u.region
+		}
+		if !c.unhealthy {
+			position++
 		}
-		x.local = x.local || c.u.local
-		position++
 	}
+	x.candidates = slices.DeleteFunc(x.candidates, func(c candidate) bool { return slices.Contains(x.r.Tried, c.u.info.ID) })
 	slices.SortStableFunc(x.candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 }
 
@@ -238,7 +294,7 @@
 
 func (x *search) newCandidate(u *upstream) candidate {
 	c := candidate{u: u, load: u.load(x.now) / u.slots()}
-	c.unhealthy = x.now.Before(u.ejectedUntil) || u.decayedFailureRate(x.now) > maxFailureRate || u.unresponsive(x.now)
+	c.unhealthy = u.down(x.now) || u.decayedFailureRate(x.now) > maxFailureRate
 	slowness := u.slowness(x.now, x.s)
 	// A slow upstream has, in effect, fewer slots.
 	c.load *= slowness
@@ -340,7 +396,6 @@
 		Considered: len(x.candidates),
 	}
 	x.addDetails(&d, c)
-	x.t.overflow.record(!c.u.local)
 	switch {
 	case c.unhealthy:
 		d.Reason = ReasonLastResort
--- a/core/agatebalance/overflow.go
+++ b/core/agatebalance/overflow.go
@@ -6,44 +6,49 @@
 )
 
 const (
-	// overflowWindowSeconds is the time constant over which the remote share is
-	// measured, and overflowMinRequests the number of requests from which the
-	// share is meaningful.
+	// overflowWindowSeconds is the time constant over which the share of requests
+	// that prefer to leave their region is measured.
 	overflowWindowSeconds = 1.5
-	overflowMinRequests   = 20.0
-	// maxBaselineSlope is the largest change of the baseline per second. The share
-	// may exceed the baseline by maxAboveBaseline and fall short of it by
-	// maxBelowBaseline. Users require that at most 15% of a region's requests move
-	// to other regions within 2 s while nothing fails. A smaller maxBelowBaseline
-	// sends more objects to upstreams that do not have them cached while load is
-	// low.
-	maxBaselineSlope = 0.03
-	maxAboveBaseline = 0.04
-	maxBelowBaseline = 0.07
+	// maxLevelSlope is the largest change of overflow.level per second. The share
+	// of requests that leave their region may differ from the level by
+	// overflowTolerance. Users require that at most 15% of a region's requests
+	// move to other regions within 2 s while nothing fails.
+	maxLevelSlope     = 0.02
+	overflowTolerance = 0.02
+	// overflowBurst is the number of requests by which one host may be ahead of
+	// or behind the level.
+	overflowBurst = 4.0
+	// sustainCost is the cost, in load per slot, that one overdue request may pay
+	// to leave its region so that the share falls no faster than the level.
+	sustainCost = 0.5
 	// disruptionPeriod is the time after a disruption in which load may move
 	// freely between regions.
 	disruptionPeriod = 15 * time.Second
-	// settleAfter is the time after the first request in which load may move
-	// freely between regions, since no upstream has cached an object yet.
-	settleAfter = 3 * time.Second
 )
 
-// overflow measures the share of this host's requests that are sent to other
-// regions and limits how fast the share changes while nothing fails. When load
-// rises, the local upstreams fill first. Without the limit, the remote share would
-// then multiply within a second, and upstreams that do not have the objects cached
-// would get these requests.
+// overflow limits how fast the share of a service's requests changes that run
+// outside their home region, which is the region of the first upstream in the
+// preference order that is not down. Most homes do not depend on load, so only overflow moves
+// requests between regions when load changes. Without the limit, the share would
+// multiply within a second when the upstreams of a region fill.
+//
+// The limit counts single requests instead of measuring a share, so that it holds
+// for the sum of all hosts of a region, however few requests each of them gets.
 type overflow struct {
-	startedAt, updatedAt time.Time
-	total, remote        float64 // recent requests, and those sent to other regions
-	baseline             float64 // follows the share, by at most maxBaselineSlope
+	updatedAt     time.Time
+	total, wanted float64 // recent requests, and those that preferred to leave
+	level         float64 // follows the share of wanted, by at most maxLevelSlope
+	// allowed is the number of requests that may leave now, and due the number
+	// that must. Each request adds the level to both, plus and minus the
+	// tolerance; each one that leaves subtracts 1.
+	allowed, due float64
 }
 
-// advance decays the counts and moves the baseline towards the share. If unlimited
-// is set, the baseline jumps to the share.
+// advance decays the counts and moves the level towards the share of requests that
+// prefer to leave. If unlimited is set, the level jumps to the share.
 func (o *overflow) advance(now time.Time, unlimited bool) {
-	if o.startedAt.IsZero() {
-		o.startedAt, o.updatedAt = now, now
+	if o.updatedAt.IsZero() {
+		o.updatedAt = now
 	}
 	dt := now.Sub(o.updatedAt).Seconds()
 	if dt <= 0 {
@@ -52,41 +57,43 @@
 	o.updatedAt = now
 	decay := math.Exp(-dt / overflowWindowSeconds)
 	o.total *= decay
-	o.remote *= decay
-	if o.total < overflowMinRequests {
-		return
-	}
-	share := o.remote / o.total
+	o.wanted *= decay
+	share := o.wanted / max(1, o.total)
 	if unlimited {
-		o.baseline = share
+		o.level = share
 		return
 	}
-	step := maxBaselineSlope * dt
-	o.baseline += min(max(share-o.baseline, -step), step)
+	step := maxLevelSlope * dt
+	o.level += min(max(share-o.level, -step), step)
 }
 
-// record counts a request that is sent.
-func (o *overflow) record(remote bool) {
+// want counts a request that some upstream has room for, by whether it prefers to
+// leave its home region.
+func (o *overflow) want(leave bool) {
 	o.total++
-	if remote {
-		o.remote++
+	if leave {
+		o.wanted++
 	}
 }
 
-// settled reports whether the first request was more than settleAfter ago.
-func (o *overflow) settled(now time.Time) bool {
-	return !o.startedAt.IsZero() && now.Sub(o.startedAt) > settleAfter
-}
-
-// deviation is the difference between the share and the baseline.
-func (o *overflow) deviation() float64 {
-	if o.total < overflowMinRequests {
-		return 0
+// record counts a request that is sent, by whether it leaves its home region.
+// Rejected requests and the first attempts of retries do not count: under overload
+// they would raise the share among the others.
+func (o *overflow) record(left, retry bool) {
+	if !retry {
+		o.allowed = min(overflowBurst, o.allowed+o.level+overflowTolerance)
+		o.due = max(-overflowBurst, o.due+o.level-overflowTolerance)
+	}
+	if left {
+		o.allowed = max(-overflowBurst, o.allowed-1)
+		o.due = max(-overflowBurst, o.due-1)
 	}
-	return o.remote/o.total - o.baseline
 }
 
-// tooHigh reports whether no more requests may be sent to other regions, and
-// tooLow whether some must be, so that the share does not fall too fast.
-func (o *overflow) tooHigh() bool { return o.deviation() > maxAboveBaseline }
-func (o *overflow) tooLow() bool  { return o.deviation() < -maxBelowBaseline }
+// mayLeave reports whether a request may be sent to another region than its home,
+// and mustLeave whether it has to be, if that costs extraCost more.
+func (o *overflow) mayLeave() bool { return o.allowed >= 1 }
+
+func (o *overflow) mustLeave(extraCost float64) bool {
+	return o.due >= 1 && extraCost <= sustainCost*o.due
+}
--- a/core/agatebalance/policy_test.go
+++ b/core/agatebalance/policy_test.go
@@ -27,6 +27,15 @@
 // seed is used by all simulations.
 const seed = 20261203
 
+// smallRegion is a service of which one region has a tenth of the slots but a third
+// of the callers. The load is low, but many hosts get few requests each. The callers
+// of the small region return to it after the first quarter.
+var smallRegion = workload{
+	name: "small-region", rate: 1000, objects: 386, cacheSize: 29, serviceTime: 950 * time.Millisecond, cachedFactor: 0.25, slots: 6,
+	upstreams: [3]int{82, 16, 68}, hosts: 63, movedShare: 0.4,
+	target: 500 * time.Millisecond, deadline: 4 * time.Second, duration: 30 * time.Second,
+}
+
 type policyCase struct {
 	workload       workload
 	minInTimeShare float64 // required share of responses within the target time
@@ -47,6 +56,7 @@
 	}), 0.75},
 	{derive("blind", func(w *workload) { w.rate = 458; w.noLoadReports = true }), 0.75},
 	{derive("one-region", func(w *workload) { w.rate = 458; w.upstreams = [3]int{12, 0, 0} }), 0.75},
+	{smallRegion, 0.85},
 	{derive("slow", func(w *workload) { w.rate = 400; w.slowCount = 3; w.slowFactor = 8 }), 0.5},
 }
 
@@ -69,7 +79,10 @@
 // Guards against load that oscillates between regions when traffic rises and
 // falls: a burst must not move more than maxShift of a region's requests.
 func TestPolicyKeepsRegions(t *testing.T) {
-	loads := []workload{derive("deluge", func(w *workload) { w.rate = 350; w.burst = 6 })}
+	loads := []workload{
+		derive("deluge", func(w *workload) { w.rate = 350; w.burst = 6 }),
+		smallRegion,
+	}
 	for _, c := range policyCases {
 		switch c.workload.name {
 		case "slow": // a failure, after which requests may move
--- a/core/agatebalance/sim_test.go
+++ b/core/agatebalance/sim_test.go
@@ -31,6 +31,9 @@
 	slowCount     int     // upstreams that are slow in the second half
 	slowFactor    float64 // factor of their service time
 	noLoadReports bool
+	// movedShare is the share of the callers of the second region that are in the
+	// third region in the first quarter.
+	movedShare float64
 }
 
 // result is the outcome of a simulation.
@@ -271,6 +274,9 @@
 		}
 		at = at.Add(time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second)))
 		region := s.rng.IntN(3)
+		if region == 1 && at.Sub(s.start)*4 < s.workload.duration && s.rng.Float64() < s.workload.movedShare {
+			region = 2
+		}
 		host := s.rng.IntN(s.workload.hosts/3)*3 + region
 		key := uint64(region*s.workload.objects+s.rng.IntN(s.workload.objects)+1) * 0x9e3779b97f4a7c15
 		r := &simRequest{key: key, host: host, arrivedAt: at}
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -75,7 +75,6 @@
 	services  map[string]*service
 	evacuated []string
 	hosts     []string // sorted
-	overflow  overflow
 }
 
 // New returns an empty Table.
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -173,6 +173,12 @@
 	return u.info.Expired && now.Sub(u.lastAnsweredAt) > expiredGrace
 }
 
+// down reports whether the upstream is ejected or unresponsive. One that only sheds
+// requests is not down.
+func (u *upstream) down(now time.Time) bool {
+	return now.Before(u.ejectedUntil) || u.unresponsive(now)
+}
+
 // decayedFailureRate is the failure rate, which decays while there are no
 // failures, so that an upstream that failed is tried again.
 func (u *upstream) decayedFailureRate(now time.Time) float64 {
@@ -230,6 +236,8 @@
 	localBonusValid bool
 	serviceTime     quantile // seconds
 	retryBudget     bucket
+	overflow        overflow
+	homes           homeShares
 	// disruptedAt is when an upstream was last removed, began to drain, expired,
 	// was unresponsive or was found to have lost its address to another upstream,
 	// or an evacuation began or ended.
