--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -196,8 +196,8 @@
 	return c
 }
 
-// limitOverflow replaces the cheapest candidate by another one, or nil, if the share
-// of requests that leave their home region would change too fast.
+// limitOverflow replaces the cheapest candidate by one in the home region, or nil, if
+// the share of requests that leave it would rise too fast.
 func (x *search) limitOverflow(c *candidate) *candidate {
 	limited := x.overflowLimited()
 	o := &x.s.overflow
@@ -206,12 +206,7 @@
 		return nil
 	}
 	o.want(x.leavesHome(c))
-	switch {
-	case !limited:
-		return c
-	case !x.leavesHome(c):
-		return x.sustainOverflow(c)
-	case o.mayLeave():
+	if !limited || !x.leavesHome(c) || o.mayLeave() {
 		return c
 	}
 	return x.first(func(c *candidate) bool { return !x.leavesHome(c) })
@@ -239,30 +234,11 @@
 	return nil
 }
 
-// sustainOverflow returns an upstream outside the request's home if the share
-// of requests that leave falls faster than allowed, or else c.
-func (x *search) sustainOverflow(c *candidate) *candidate {
-	if x.s.overflow.due < 1 {
-		return c
-	}
-	for i := range x.candidates {
-		other := &x.candidates[i]
-		if !x.leavesHome(other) || other.unhealthy || !x.hasRoom(other) {
-			continue
-		}
-		if x.s.overflow.mustLeave(other.cost - c.cost) {
-			return other
-		}
-		return c
-	}
-	return c
-}
-
 // leavesHome reports whether a candidate is outside the request's home region.
 func (x *search) leavesHome(c *candidate) bool { return c.u.region != x.home }
 
 // overflowLimited reports whether the share of requests that leave their home
-// region may only change slowly.
+// region may only rise slowly.
 func (x *search) overflowLimited() bool {
 	return x.home != "" && x.now.Sub(x.s.disruptedAt) > disruptionPeriod
 }
--- a/core/agatebalance/doc.go
+++ b/core/agatebalance/doc.go
@@ -8,10 +8,15 @@
 // fall back to the next in the order, which then caches the object too.
 //
 // Upstreams are compared by a cost that combines their load per slot with their
-// rank in the preference order. An upstream is skipped if its expected latency
-// exceeds the deadline or, while it is busy, a multiple of the target time. An
-// upstream is cold for a while after its start, when it gets requests at a limited
-// rate.
+// rank in the preference order. A host learns how long requests take for objects
+// that are cached and for others, and how slow each upstream is. An upstream is
+// skipped if its expected latency exceeds the deadline or, while it is busy, a
+// multiple of the target time. An upstream is cold for a while after its start,
+// when it gets requests at a limited rate.
+//
+// The home region of an object is the region of the first upstream in its
+// preference order. While nothing fails, the share of requests that run elsewhere
+// changes slowly, so that load does not oscillate between regions.
 //
 // A Table starts no goroutine and reads no clock. It is not safe for
 // concurrent use.
@@ -27,7 +32,7 @@
 //		// reject with d.Reason and d.RetryAfter
 //	}
 //	t.Start(now, d.Upstream)
-//	... // send to d.Address
+//	... // send to d.Address; the observation gets d.Basis
 //	t.Finish(now, d.Upstream, observation)
 //
 // Each Start must be followed by exactly one Finish.
--- a/core/agatebalance/overflow.go
+++ b/core/agatebalance/overflow.go
@@ -9,26 +9,23 @@
 	// overflowWindowSeconds is the time constant over which the share of requests
 	// that prefer to leave their region is measured.
 	overflowWindowSeconds = 1.5
-	// maxLevelSlope is the largest change of overflow.level per second. The share
-	// of requests that leave their region may differ from the level by
-	// overflowTolerance. Users require that at most 15% of a region's requests
-	// move to other regions within 2 s while nothing fails.
+	// maxLevelSlope is the largest change of overflow.level per second. The share of
+	// requests that leave their region may exceed the level by overflowTolerance.
+	// Users require that at most 15% of a region's requests move to other regions
+	// within 2 s while nothing fails.
 	maxLevelSlope     = 0.02
 	overflowTolerance = 0.02
-	// overflowBurst is the number of requests by which one host may be ahead of
-	// or behind the level.
+	// overflowBurst is the number of requests by which one host may be ahead of the
+	// level.
 	overflowBurst = 4.0
-	// sustainCost is the cost, in load per slot, that one overdue request may pay
-	// to leave its region so that the share falls no faster than the level.
-	sustainCost = 0.5
 	// disruptionPeriod is the time after a disruption in which load may move
 	// freely between regions.
 	disruptionPeriod = 15 * time.Second
 )
 
-// overflow limits how fast the share of a service's requests changes that run
-// outside their home region, which is the region of the first upstream in the
-// preference order that is not down. Most homes do not depend on load, so only overflow moves
+// overflow limits how fast the share of a service's requests rises that run outside
+// their home region, which is the region of the first upstream in the preference
+// order that is not down. Homes do not depend on load, so only overflow moves
 // requests between regions when load changes. Without the limit, the share would
 // multiply within a second when the upstreams of a region fill.
 //
@@ -38,10 +35,9 @@
 	updatedAt     time.Time
 	total, wanted float64 // recent requests, and those that preferred to leave
 	level         float64 // follows the share of wanted, by at most maxLevelSlope
-	// allowed is the number of requests that may leave now, and due the number
-	// that must. Each request adds the level to both, plus and minus the
-	// tolerance; each one that leaves subtracts 1.
-	allowed, due float64
+	// allowed is the number of requests that may leave now. Each request adds the
+	// level and the tolerance, and each one that leaves subtracts 1.
+	allowed float64
 }
 
 // advance decays the counts and moves the level towards the share of requests that
@@ -82,18 +78,11 @@
 func (o *overflow) record(left, retry bool) {
 	if !retry {
 		o.allowed = min(overflowBurst, o.allowed+o.level+overflowTolerance)
-		o.due = max(-overflowBurst, o.due+o.level-overflowTolerance)
 	}
 	if left {
 		o.allowed = max(-overflowBurst, o.allowed-1)
-		o.due = max(-overflowBurst, o.due-1)
 	}
 }
 
-// mayLeave reports whether a request may be sent to another region than its home,
-// and mustLeave whether it has to be, if that costs extraCost more.
+// mayLeave reports whether a request may be sent to another region than its home.
 func (o *overflow) mayLeave() bool { return o.allowed >= 1 }
-
-func (o *overflow) mustLeave(extraCost float64) bool {
-	return o.due >= 1 && extraCost <= sustainCost*o.due
-}
