agatebalance: an outage of a region does not reject the requests of others

Cause: the mix of home regions is kept while requests are rejected. Requests that no upstream could take counted as a home region without room, so after them nearly all requests were rejected for seconds. The same happened while all upstreams of a home region were cold.

Requests without a home region do not count, and cold upstreams that leave no room in the home region count as a disruption, in which load may move freely. TestRegionOutage fails before in both cases.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -182,7 +182,10 @@
 func (x *search) choose() *candidate {
 	c := x.limitOverflow(x.first(func(*candidate) bool { return true }))
 	homes := &x.s.homes
-	if x.retry() {
+	switch {
+	case x.home == "":
+		return c
+	case x.retry():
 		if c == nil {
 			homes.revoke(x.now, x.home)
 		}
@@ -209,7 +212,14 @@
 	if !limited || !x.leavesHome(c) || o.mayLeave() {
 		return c
 	}
-	return x.first(func(c *candidate) bool { return !x.leavesHome(c) })
+	local := x.first(func(c *candidate) bool { return !x.leavesHome(c) })
+	if local == nil && x.coldCount > 0 {
+		// The upstreams of the home region are cold, which is a failure and no change
+		// of load.
+		x.s.disruptedAt = x.now
+		return c
+	}
+	return local
 }
 
 // first returns the candidate with the lowest cost that has room and that allowed
--- a/core/agatebalance/table_test.go
+++ b/core/agatebalance/table_test.go
@@ -225,3 +225,36 @@
 	assert.Equal(t, idle.Load, 0.0)
 	assert.Equal(t, d.Load, 0.25, "one request on four slots")
 }
+
+// Guards against requests that are rejected because of a region without any usable
+// upstream: requests that no upstream could take must not count as a home region
+// without room, and cold upstreams of one region must not stop the others.
+func TestRegionOutage(t *testing.T) {
+	for _, outage := range []string{"none", "cold"} {
+		t.Run(outage, func(t *testing.T) {
+			table, now := newTable(), time.Unix(1, 0)
+			table.SetPlan(agateplan.NewIndex(&agateplan.Plan{Services: []agateplan.Service{{Name: "s", WarmupRate: 1}}}))
+			table.SetHosts([]string{"h1"})
+			far := newInfo("far")
+			far.Domain = "b-1"
+			near := newInfo("near")
+			near.WarmupLeft = time.Minute
+			if outage == "cold" {
+				table.UpdateUpstreams(now, []agatebalance.UpstreamInfo{near, far}, true, nil)
+			}
+			for n := range 2000 {
+				now = now.Add(time.Millisecond)
+				if outage == "none" && n == 1000 {
+					table.UpdateUpstreams(now, []agatebalance.UpstreamInfo{far}, true, nil)
+				}
+				d := choose(table, now, func(r *agatebalance.Request) { r.AffinityKey = uint64(n%50)*0x9e3779b97f4a7c15 + 1 })
+				if d.Upstream == "" {
+					assert.Assert(t, n < 1000, "request %d rejected: %s", n, d.Reason)
+					continue
+				}
+				table.Start(now, d.Upstream)
+				table.Finish(now, d.Upstream, agatebalance.Observation{Outcome: agatebalance.Answered, Latency: time.Millisecond, Basis: d.Basis})
+			}
+		})
+	}
+}
