agatebalance: forget home regions without requests

Cause, found by reading: the counts of a home region decay to 0 within a minute without requests, and the limits computed from them are not a number. All requests were then accepted until the region's next one.

--- a/core/agatebalance/admission.go
+++ b/core/agatebalance/admission.go
@@ -18,6 +18,10 @@
 	homeTolerance = 0.04
 	// homeBurst is the number of requests that one host may accept at once.
 	homeBurst = 2.0
+	// minHomeArrived is the decayed number of requests below which a home region is
+	// forgotten, some 30 s after its last request. Otherwise its counts would become
+	// 0 and the limits undefined until its next one.
+	minHomeArrived = 0.001
 	// homeUpdateInterval is how often the limits are computed.
 	homeUpdateInterval = 50 * time.Millisecond
 	// homeIterations is the number of steps of the fixed-point iteration that
@@ -85,10 +89,14 @@
 	return s
 }
 
+// decay decays the counts by dt seconds and forgets home regions without requests.
 func (h *homeShares) decay(dt float64) {
 	d, recent := math.Exp(-dt/homeWindowSeconds), math.Exp(-dt/roomWindowSeconds)
-	for _, s := range h.homes {
+	for name, s := range h.homes {
 		s.arrived *= d
+		if s.arrived < minHomeArrived {
+			delete(h.homes, name)
+		}
 		s.recent *= recent
 		s.roomed *= recent
 	}
