--- a/core/agatebalance/table_test.go
+++ b/core/agatebalance/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -209,8 +210,12 @@
 	preferred := choose(table, now, nil).Upstream
 	other := map[string]string{"u1": "u2", "u2": "u1"}[preferred]
 	respond := func(id string, latency time.Duration) {
+		d := choose(table, now, func(r *agatebalance.Request) {
+			r.Tried = slices.DeleteFunc([]string{"u1", "u2"}, func(other string) bool { return other == id })
+		})
+		assert.Equal(t, d.Upstream, id)
 		table.Start(now, id)
-		table.Finish(now, id, agatebalance.Observation{Outcome: agatebalance.Answered, Latency: latency, RTT: time.Microsecond})
+		table.Finish(now, id, agatebalance.Observation{Outcome: agatebalance.Answered, Latency: latency, RTT: time.Microsecond, Basis: d.Basis})
 	}
 	for range 20 {
 		respond(other, time.Millisecond)
