agatefront: log and count the limits that upstreams name

Responses' limits are now decoded; a line "upstream limit" stands at each change, and the gauge "limited" counts the upstreams that name one. Nothing acts on them yet.

--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -41,6 +41,8 @@
 	// upstream according to the response. They are valid if Reported is set.
 	Reported         bool
 	Running, Waiting int
+	// Limit is the limit that the response names, if any.
+	Limit Limit
 	// Basis is the one of the decision that the attempt follows.
 	Basis Basis
 	// UpstreamDied reports that the upstream's process ended during the attempt.
@@ -59,12 +61,14 @@
 	}
 }
 
-// Finish records the end of an attempt.
-func (t *Table) Finish(now time.Time, id string, o Observation) {
+// Finish records the end of an attempt. It reports whether the upstream's limit
+// changed.
+func (t *Table) Finish(now time.Time, id string, o Observation) (limitChanged bool) {
 	u := t.upstreams[id]
 	if u == nil {
-		return
+		return false
 	}
+	limitChanged = u.recordLimit(now, &o)
 	u.inFlight = max(0, u.inFlight-1)
 	if o.RTT > 0 {
 		u.rtt.add(o.RTT.Seconds(), latencyWindow)
@@ -93,6 +97,7 @@
 		u.recordFailure(now, 1, o.UpstreamDied)
 	case Canceled:
 	}
+	return limitChanged
 }
 
 // recordLatency updates the latency and the service times with a response.
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -258,6 +258,7 @@
 	Latency     time.Duration // moving average
 	FailureRate float64       // 0 to 1
 	Ejected     bool
+	Limit       Limit
 }
 
 // Status returns the status of all upstreams, sorted by ID.
@@ -270,6 +271,7 @@
 			Latency:     seconds(u.latency.mean),
 			FailureRate: u.decayedFailureRate(now),
 			Ejected:     now.Before(u.ejectedUntil),
+			Limit:       u.limit.limit,
 		})
 	}
 	slices.SortFunc(out, func(a, b UpstreamStatus) int {
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -71,6 +71,8 @@
 	consecutiveEjections int
 	ejectedUntil         time.Time
 
+	limit limitState
+
 	coldUntil  time.Time
 	coldRank   int // see Table.coldRank
 	coldBucket bucket
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -53,6 +53,7 @@
 	ExpectUpstream string // id of the only upstream that may run the request
 	Stamp          string // marks a response as sent by an upstream; not checked by default
 	Load           string // "running,waiting,slots" of the responding upstream
+	Limit          string // requests per second that the upstream takes from all hosts together
 	// NotRun reports whether a response states that the upstream did not
 	// run the request. The default accepts what agateupstream.Config.NotRun
 	// accepts by default.
@@ -70,6 +71,7 @@
 	set(&h.AffinityKey, "Agate-Object")
 	set(&h.ExpectUpstream, "Agate-Expect")
 	set(&h.Load, "Agate-Load")
+	set(&h.Limit, "Agate-Limit")
 	return h
 }
 
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"agategate/core/agatebalance"
 	"agategate/core/agateplan"
 	"agategate/io/agatelog"
 	"agategate/io/agatemetrics"
@@ -83,6 +84,17 @@
 	p.f.log.Info("attempt", append(p.fields(now), "kind", "attempt", "took", took.Round(time.Millisecond))...)
 }
 
+// logLimit writes a log line on a change of an upstream's limit, which the response
+// to the request names or, if it names none, ends.
+func (p *proxyRequest) logLimit(limit agatebalance.Limit) {
+	if !p.f.otherLimit.allow(time.Now(), otherLinesPerSecond) {
+		p.f.metrics.set.Counter(agatemetrics.SkippedLines, "").Add(1)
+		return
+	}
+	p.f.log.Info("upstream limit", "kind", "limit", "req", p.id, "service", p.criteria.Service, "choice", p.lastDecision.Upstream,
+		"named", limit.Named, "limit", strconv.FormatFloat(limit.Rate, 'f', 2, 64))
+}
+
 // decision returns the last decision on a request as "agategate explain" prints
 // it, with the same inputs as in the log line.
 func (p *proxyRequest) decision(r *reply, took time.Duration) *agatelog.Decision {
--- a/io/agatefront/metrics.go
+++ b/io/agatefront/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"agategate/core/agatebalance"
 	"agategate/io/agatemetrics"
 )
 
@@ -21,14 +22,23 @@
 	set.Declare("entry")
 	set.Func(agatemetrics.CallerConnections, func() any { return f.conns.len() })
 	set.Func(agatemetrics.ConfigRevision, func() any { return f.control.revision() })
-	set.Func(agatemetrics.Upstreams, func() any { return f.countUpstreams(func(n *int, _ int) { *n++ }) })
-	set.Func(agatemetrics.InFlight, func() any { return f.countUpstreams(func(n *int, inFlight int) { *n += inFlight }) })
+	set.Func(agatemetrics.Upstreams, func() any { return f.sumUpstreams(func(agatebalance.UpstreamStatus) int { return 1 }) })
+	set.Func(agatemetrics.InFlight, func() any { return f.sumUpstreams(func(u agatebalance.UpstreamStatus) int { return u.InFlight }) })
+	set.Func(agatemetrics.LimitedUpstreams, func() any { return f.sumUpstreams(limited) })
 	return metrics{set: set}
 }
 
-// countUpstreams sums a value over the upstreams of each service, without those
+// limited is 1 for an upstream that names a limit.
+func limited(u agatebalance.UpstreamStatus) int {
+	if u.Limit.Named {
+		return 1
+	}
+	return 0
+}
+
+// sumUpstreams sums a value over the upstreams of each service, without those
 // that expired.
-func (f *Front) countUpstreams(add func(n *int, inFlight int)) map[string]int {
+func (f *Front) sumUpstreams(value func(u agatebalance.UpstreamStatus) int) map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]int{}
@@ -36,9 +46,7 @@
 		if v.Info.Expired {
 			continue
 		}
-		n := out[v.Info.Service]
-		add(&n, v.InFlight)
-		out[v.Info.Service] = n
+		out[v.Info.Service] += value(v)
 	}
 	return out
 }
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -236,8 +237,11 @@
 	o := f.observation(&res)
 	o.Basis = d.Basis
 	f.mu.Lock()
-	f.table.Finish(time.Now(), d.Upstream, o)
+	limitChanged := f.table.Finish(time.Now(), d.Upstream, o)
 	f.mu.Unlock()
+	if limitChanged {
+		p.logLimit(o.Limit)
+	}
 	p.criteria.Tried = append(p.criteria.Tried, d.Upstream)
 	p.lastResult = res.Kind.String()
 	return p.handleResult(&res)
@@ -374,6 +378,7 @@
 func (f *Front) observation(res *agateupstream.Result) agatebalance.Observation {
 	o := agatebalance.Observation{Latency: res.Elapsed, RTT: res.RTT, UpstreamDied: res.UpstreamDied}
 	o.Running, o.Waiting, o.Reported = parseLoad(res.Header.Get(f.headers.Load))
+	o.Limit = parseLimit(res.Header.Get(f.headers.Limit))
 	switch res.Kind {
 	case agateupstream.Answered:
 		o.Outcome = agatebalance.Answered
@@ -407,3 +412,13 @@
 	waiting, err2 := strconv.Atoi(strings.TrimSpace(second))
 	return running, waiting, err1 == nil && err2 == nil && running >= 0 && waiting >= 0
 }
+
+// parseLimit parses a limit header, a decimal number of requests per second. A
+// malformed or negative value names no limit.
+func parseLimit(text string) agatebalance.Limit {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return agatebalance.Limit{}
+	}
+	return agatebalance.Limit{Named: true, Rate: rate}
+}
--- a/io/agatemetrics/name.go
+++ b/io/agatemetrics/name.go
@@ -15,6 +15,7 @@
 	Latency           Name = "latency"
 	Upstreams         Name = "upstreams"
 	InFlight          Name = "inflight"
+	LimitedUpstreams  Name = "limited"
 	QueueLength       Name = "queue"
 	Headroom          Name = "headroom"
 	OverflowRequests  Name = "shifted"
@@ -77,6 +78,7 @@
 	{Hedges, "counter", "service", "requests", "entry", "second attempts in parallel with a slow attempt"},
 	{Latency, "histogram", "service", "µs", "entry", "time from receiving a request to sending its complete response"},
 	{Upstreams, "gauge", "service", "upstreams", "entry", "upstreams that announce themselves as up"},
+	{LimitedUpstreams, "gauge", "service", "upstreams", "entry", "upstreams that name a limit of requests per second"},
 	{InFlight, "gauge", "service", "requests", "entry", "requests sent to upstreams and not yet answered"},
 	{QueueLength, "gauge", "service", "requests", "entry", "requests that wait for an upstream"},
 	{Headroom, "gauge", "service/region", "requests/s", "entry", "unused capacity below the target utilization"},
