agatebalance: hosts share the limit that an upstream names

Cause: no process read the limit, and the table had no bound that holds for all hosts together apart from cold upstreams. Class: a bound of the whole group that each host would judge alone.

The choice of an upstream and its count are one critical section now, so concurrent requests cannot pass the last token of a cold or limited one.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -87,6 +87,7 @@
 	ReasonNoUpstream  Reason = "none"      // no upstream is eligible
 	ReasonBusy        Reason = "busy"      // none has room; at least one is full, too slow for the target, or excluded by a load or overflow limit
 	ReasonCold        Reason = "cold"      // none has room; at least one is cold, none is busy
+	ReasonLimited     Reason = "limit"     // none has room; at least one names a limit of which this host's share is used up, none is busy or cold
 	ReasonDeadline    Reason = "late"      // no eligible upstream can respond before the deadline
 	ReasonBudget      Reason = "budget"    // the retry budget is exhausted; set by callers of AllowRetry, not by Choose
 )
@@ -148,10 +149,12 @@
 
 	// The number of rejected candidates by cause. Those in busyCount are full, too
 	// slow for the target, above fallbackMaxLoad, or excluded by the overflow limit.
-	// Those in coldCount are cold, and those in lateCount too slow for the deadline.
-	busyCount int
-	coldCount int
-	lateCount int
+	// Those in coldCount are cold, those in limitedCount have a limit of which this
+	// host's share is used up, and those in lateCount are too slow for the deadline.
+	busyCount    int
+	coldCount    int
+	limitedCount int
+	lateCount    int
 
 	// minBusySeconds is the least cachedSeconds of the candidates that are full or too
 	// slow for the target, or +Inf.
@@ -213,9 +216,9 @@
 		return c
 	}
 	local := x.first(func(c *candidate) bool { return !x.leavesHome(c) })
-	if local == nil && x.coldCount > 0 {
-		// The upstreams of the home region are cold, which is a failure and no change
-		// of load.
+	if local == nil && x.coldCount+x.limitedCount > 0 {
+		// The upstreams of the home region are cold or name a limit, which is a failure
+		// and no change of load.
 		x.s.disruptedAt = x.now
 		return c
 	}
@@ -225,7 +228,7 @@
 // first returns the candidate with the lowest cost that has room and that allowed
 // permits, healthy ones first, or nil.
 func (x *search) first(allowed func(c *candidate) bool) *candidate {
-	x.busyCount, x.coldCount, x.lateCount = 0, 0, 0
+	x.busyCount, x.coldCount, x.limitedCount, x.lateCount = 0, 0, 0, 0
 	for _, unhealthy := range []bool{false, true} {
 		for i := range x.candidates {
 			c := &x.candidates[i]
@@ -364,6 +367,8 @@
 		x.busyCount++
 	case !x.t.warmupAllows(x.now, c.u, x.s):
 		x.coldCount++
+	case !x.t.limitAllows(x.now, c.u):
+		x.limitedCount++
 	default:
 		return true
 	}
@@ -408,7 +413,7 @@
 // second, and of the burst.
 func (t *Table) coldLimit(u *upstream, name string) (rate, burst float64) {
 	hosts := min(maxColdHosts, len(t.hosts))
-	if u.coldRank < 0 || u.coldRank >= hosts || t.plan == nil {
+	if u.hostRank < 0 || u.hostRank >= hosts || t.plan == nil {
 		return 0, 0
 	}
 	s := t.plan.Service(name)
@@ -467,6 +472,9 @@
 	case x.coldCount > 0:
 		d.Reason = ReasonCold
 		d.RetryAfter = maxRetryAfter / 2
+	case x.limitedCount > 0:
+		d.Reason = ReasonLimited
+		d.RetryAfter = maxRetryAfter / 2
 	case x.lateCount > 0:
 		d.Reason = ReasonDeadline
 		d.RetryAfter = minRetryAfter
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -59,6 +59,9 @@
 	if now.Before(u.coldUntil) {
 		u.coldBucket.tokens--
 	}
+	if u.limit.limit.Named {
+		u.limit.bucket.tokens--
+	}
 }
 
 // Finish records the end of an attempt. It reports whether the upstream's limit
@@ -68,7 +71,7 @@
 	if u == nil {
 		return false
 	}
-	limitChanged = u.recordLimit(now, &o)
+	limitChanged = t.recordLimit(now, u, &o)
 	u.inFlight = max(0, u.inFlight-1)
 	if o.RTT > 0 {
 		u.rtt.add(o.RTT.Seconds(), latencyWindow)
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -95,7 +95,7 @@
 	t.hosts = slices.Clone(names)
 	slices.Sort(t.hosts)
 	for _, u := range t.upstreams {
-		u.coldRank = t.coldRank(u)
+		u.hostRank = t.hostRank(u)
 	}
 }
 
@@ -169,7 +169,7 @@
 	if info.WarmupLeft > 0 {
 		u.coldUntil = now.Add(info.WarmupLeft)
 	}
-	u.coldRank = t.coldRank(u)
+	u.hostRank = t.hostRank(u)
 }
 
 func (t *Table) remove(id string) {
@@ -188,11 +188,11 @@
 	return s
 }
 
-// coldRank is the rank of this host in an order of all hosts that is specific to
+// hostRank is the rank of this host in an order of all hosts that is specific to
 // the upstream and that all hosts compute alike. Only the first maxColdHosts may
-// send to the upstream while it is cold. The rank is -1 if this host is not in
-// the list of SetHosts.
-func (t *Table) coldRank(u *upstream) int {
+// send to the upstream while it is cold, and the first ones share a limit that it
+// names. The rank is -1 if this host is not in the list of SetHosts.
+func (t *Table) hostRank(u *upstream) int {
 	own, found := hashScore(t.cfg.Host, u.info.ID), false
 	rank := 0
 	for _, h := range t.hosts {
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -71,10 +71,10 @@
 	consecutiveEjections int
 	ejectedUntil         time.Time
 
-	limit limitState
+	hostRank int // see Table.hostRank
+	limit    limitState
 
 	coldUntil  time.Time
-	coldRank   int // see Table.coldRank
 	coldBucket bucket
 }
 
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -179,8 +179,8 @@
 	}
 }
 
-// choose selects an upstream by the load-balancing table. The first call for a
-// request records the request there.
+// choose selects an upstream by the load-balancing table and records there that the
+// request is sent to it. The first call for a request records the request as well.
 func (p *proxyRequest) choose(first bool) agatebalance.Decision {
 	f := p.f
 	p.criteria.Route = p.route
@@ -195,6 +195,11 @@
 		f.table.RecordRequest(now, p.criteria.Service)
 	}
 	p.lastDecision = f.table.Choose(now, &p.criteria)
+	if p.lastDecision.Upstream != "" {
+		// In the same critical section, so that concurrent requests cannot exceed the
+		// rate of a cold or limited upstream.
+		f.table.Start(now, p.lastDecision.Upstream)
+	}
 	return p.lastDecision
 }
 
@@ -221,10 +226,6 @@
 // sent to the caller or if the caller has disconnected.
 func (p *proxyRequest) attempt(d agatebalance.Decision) (reply, bool) {
 	f := p.f
-	start := time.Now()
-	f.mu.Lock()
-	f.table.Start(start, d.Upstream)
-	f.mu.Unlock()
 	done := f.suspects.start(p.fingerprint, d.Upstream)
 	res := f.pool.Do(p.context(), p.call(d))
 	if res.Kind == agateupstream.Answered {
