agatebalance: tell the host's own links from the upstreams

Failures that were attributed to upstreams while the links were lost are discarded when they are back. Callers are not treated differently yet.

--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -37,6 +37,8 @@
 	// RTT is the network round-trip time measured when the connection was opened,
 	// or zero.
 	RTT time.Duration
+	// Responded reports that a response arrived, if Outcome is Failed.
+	Responded bool
 	// Running and Waiting are the numbers of requests running and queued at the
 	// upstream according to the response. They are valid if Reported is set.
 	Reported         bool
@@ -49,12 +51,26 @@
 	UpstreamDied bool
 }
 
+// heard reports whether the upstream responded.
+func (o *Observation) heard() bool {
+	switch o.Outcome {
+	case Answered, Shed, WrongUpstream:
+		return true
+	case Failed:
+		return o.Responded
+	}
+	return false
+}
+
 // Start records that a request is sent to an upstream.
 func (t *Table) Start(now time.Time, id string) {
 	u := t.upstreams[id]
 	if u == nil {
 		return
 	}
+	if u.inFlight == 0 {
+		u.unansweredSince = now
+	}
 	u.inFlight++
 	if now.Before(u.coldUntil) {
 		u.coldBucket.tokens--
@@ -79,6 +95,9 @@
 	if o.Reported {
 		u.recordLoad(now, o.Running, o.Waiting)
 	}
+	if o.heard() {
+		t.heard(now, u)
+	}
 	if o.Outcome == WrongUpstream {
 		t.service(u.info.Service).disruptedAt = now
 	}
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -75,6 +75,7 @@
 	services  map[string]*service
 	evacuated []string
 	hosts     []string // sorted
+	links     links
 }
 
 // New returns an empty Table.
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -54,6 +54,9 @@
 	local  bool // in the region of this host
 
 	inFlight int // requests in flight from this host
+	// unansweredSince is when the upstream last responded, or when the first request
+	// in flight was sent if that is later.
+	unansweredSince time.Time
 	// otherLoad is the number of requests of other hosts running or queued at the
 	// upstream, as reported.
 	otherLoad      ewma
--- /dev/null
+++ b/io/agatefront/links.go
@@ -0,0 +1,61 @@
+package agatefront
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"agategate/core/agatebalance"
+)
+
+// linkCheckInterval is how often the host checks whether its own links to the
+// upstreams may have failed.
+const linkCheckInterval = 100 * time.Millisecond
+
+// watchLinks probes upstreams while none responds, until the host stops. Probes are
+// connections that later requests use.
+func (f *Front) watchLinks() {
+	tick := time.NewTicker(linkCheckInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-tick.C:
+			f.checkLinks()
+		}
+	}
+}
+
+func (f *Front) checkLinks() {
+	f.mu.Lock()
+	targets := f.table.LinkProbes(time.Now())
+	f.mu.Unlock()
+	if len(targets) == 0 {
+		return
+	}
+	start := time.Now()
+	reached := f.probe(targets)
+	f.mu.Lock()
+	changed := f.table.RecordProbes(time.Now(), reached)
+	lost := f.table.LinksLost()
+	f.mu.Unlock()
+	if changed || !lost {
+		f.log.Info("links checked", "kind", "links", "lost", lost, "probes", len(targets), "reached", reached, "took", time.Since(start).Round(time.Millisecond))
+	}
+}
+
+// probe opens connections to upstreams and returns how many could be opened.
+func (f *Front) probe(targets []agatebalance.UpstreamInfo) int {
+	var reached atomic.Int64
+	var wg sync.WaitGroup
+	for _, u := range targets {
+		wg.Go(func() {
+			if f.pool.Connect(f.ctx, u.ID, u.Address) == nil {
+				reached.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(reached.Load())
+}
--- a/io/agateupstream/pool.go
+++ b/io/agateupstream/pool.go
@@ -28,6 +28,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -272,6 +273,20 @@
 	return r
 }
 
+// Connect opens a connection to an upstream and keeps it for later calls, if the
+// limit of connections allows. It fails as a call would whose connection cannot be
+// opened.
+func (p *Pool) Connect(ctx context.Context, id string, addr netip.AddrPort) error {
+	c, err := dial(ctx, p.dialer, addr)
+	if err != nil {
+		return fmt.Errorf("agateupstream: connect: %w", err)
+	}
+	if u := p.upstream(id); u == nil || !u.add(c) {
+		c.close()
+	}
+	return nil
+}
+
 // connect returns a connection for the call: a suitable idle one or a new one. If
 // ok is false, r is the final result.
 func (p *Pool) connect(ctx context.Context, u *upstreamConns, call *Call) (c *conn, r Result, ok bool) {
--- a/io/agateupstream/upstream.go
+++ b/io/agateupstream/upstream.go
@@ -80,6 +80,19 @@
 	return nil, true
 }
 
+// add adds a new connection to the idle list. It reports false if the limit is
+// reached.
+func (u *upstreamConns) add(c *conn) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.open >= u.maxConns {
+		return false
+	}
+	u.open++
+	u.idle = append(u.idle, c)
+	return true
+}
+
 // release returns a connection to the idle list, or closes it if it is not
 // reusable or above the limit.
 func (u *upstreamConns) release(c *conn, reusable bool) {
