agatefront: a host without links to upstreams sends its callers to other hosts

Cause: a host took a failure of its own links for one of each upstream in turn. It stayed ready, so the directory went on naming it. Class: a host that judges alone takes a link of its own that failed for an upstream that failed.

A host whose links are lost is not ready, says so to the control group at once, and rejects requests at once as not run, closing the connection; callers then go to other hosts.

Evidence: TestSystem/links-silent and links-reset failed before and pass.

--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -118,16 +118,14 @@
 }
 
 // RecordProbes records how many of the upstreams that LinkProbes returned accepted a
-// connection. It reports whether the links were lost or came back.
-func (t *Table) RecordProbes(now time.Time, reached int) (changed bool) {
+// connection. The links are lost if none did and none responded meanwhile.
+func (t *Table) RecordProbes(now time.Time, reached int) {
 	l := &t.links
-	before := l.lost
 	if reached == 0 && l.heardAt.After(l.probedAt) {
-		return false // a response arrived meanwhile
+		return
 	}
 	if reached > 0 {
 		l.silence = min(maxSilence, 2*max(minSilence, l.silence))
 	}
 	t.setLinksLost(now, reached == 0)
-	return l.lost != before
 }
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -143,6 +143,7 @@
 	bodyBytes    atomic.Int64 // total size of request bodies in memory
 	routineLimit rateLimit    // of log lines on successful requests
 	otherLimit   rateLimit    // of all other log lines on requests
+	linksLost    atomic.Bool  // Table.LinksLost, as of the last change
 	stopping     atomic.Bool
 	shutdown     chan struct{} // closed when a planned stop begins
 
@@ -208,9 +209,10 @@
 }
 
 // Ready reports whether the host can serve callers: it has received the plan
-// and the list of upstreams, and Stop has not been called.
+// and the list of upstreams, has links to the upstreams, and Stop has not been
+// called. Callers are not sent to a host that is not ready.
 func (f *Front) Ready() bool {
-	return !f.stopping.Load() && f.plan.Load() != nil && f.control.hasState()
+	return !f.stopping.Load() && !f.linksLost.Load() && f.plan.Load() != nil && f.control.hasState()
 }
 
 const (
--- a/io/agatefront/links.go
+++ b/io/agatefront/links.go
@@ -37,10 +37,13 @@
 	start := time.Now()
 	reached := f.probe(targets)
 	f.mu.Lock()
-	changed := f.table.RecordProbes(time.Now(), reached)
-	lost := f.table.LinksLost()
+	f.table.RecordProbes(time.Now(), reached)
+	changed := f.updateLinksLost()
 	f.mu.Unlock()
-	if changed || !lost {
+	if changed {
+		f.control.requestHeartbeats()
+	}
+	if lost := f.linksLost.Load(); changed || !lost {
 		f.log.Info("links checked", "kind", "links", "lost", lost, "probes", len(targets), "reached", reached, "took", time.Since(start).Round(time.Millisecond))
 	}
 }
@@ -59,3 +62,11 @@
 	wg.Wait()
 	return int(reached.Load())
 }
+
+// updateLinksLost takes over Table.LinksLost and reports whether it changed; f.mu must
+// be held. After a change the caller requests heartbeats, without f.mu: the control
+// group then sends callers to other hosts, or here again.
+func (f *Front) updateLinksLost() (changed bool) {
+	lost := f.table.LinksLost()
+	return f.linksLost.Swap(lost) != lost
+}
--- a/io/agatefront/metrics.go
+++ b/io/agatefront/metrics.go
@@ -25,23 +25,15 @@
 	set.Func(agatemetrics.Upstreams, func() any { return f.sumUpstreams(func(agatebalance.UpstreamStatus) int { return 1 }) })
 	set.Func(agatemetrics.InFlight, func() any { return f.sumUpstreams(func(u agatebalance.UpstreamStatus) int { return u.InFlight }) })
 	set.Func(agatemetrics.LimitedUpstreams, func() any { return f.sumUpstreams(limited) })
-	set.Func(agatemetrics.LinksLost, func() any { return f.linksLost() })
+	set.Func(agatemetrics.LinksLost, func() any { return toInt(f.linksLost.Load()) })
 	return metrics{set: set}
 }
 
-// linksLost is 1 while the host has lost its links to all upstreams.
-func (f *Front) linksLost() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.table.LinksLost() {
-		return 1
-	}
-	return 0
-}
-
 // limited is 1 for an upstream that names a limit.
-func limited(u agatebalance.UpstreamStatus) int {
-	if u.Limit.Named {
+func limited(u agatebalance.UpstreamStatus) int { return toInt(u.Limit.Named) }
+
+func toInt(b bool) int {
+	if b {
 		return 1
 	}
 	return 0
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -40,6 +40,10 @@
 // while an upstream may still be processing it.
 const reasonTimeout = "timeout"
 
+// reasonNoLink is the reason of the reply to a request at a host that has lost its
+// links to all upstreams.
+const reasonNoLink = "no link"
+
 // proxyRequest is the state of one request in progress.
 type proxyRequest struct {
 	f           *Front
@@ -122,6 +126,9 @@
 		return reply{status: http.StatusServiceUnavailable, retryAfter: after, reason: "crashes upstreams"}
 	}
 	for first := true; ; first = false {
+		if p.f.linksLost.Load() {
+			return p.linksLost()
+		}
 		if !first {
 			if r, ok := p.match(); !ok {
 				return r
@@ -222,6 +229,14 @@
 	return reply{status: http.StatusServiceUnavailable, retryAfter: max(d.RetryAfter, minRetryAfter), reason: string(d.Reason)}
 }
 
+// linksLost returns the reply to a request at a host without links to upstreams.
+// Another host can serve the caller at once.
+func (p *proxyRequest) linksLost() reply {
+	r := p.giveUp(agatebalance.Decision{Reason: reasonNoLink})
+	r.preferOtherHost = true
+	return r
+}
+
 // attempt sends the request to one upstream. The reply is final if it is to be
 // sent to the caller or if the caller has disconnected.
 func (p *proxyRequest) attempt(d agatebalance.Decision) (reply, bool) {
@@ -239,7 +254,11 @@
 	o.Basis = d.Basis
 	f.mu.Lock()
 	limitChanged := f.table.Finish(time.Now(), d.Upstream, o)
+	linksChanged := f.updateLinksLost()
 	f.mu.Unlock()
+	if linksChanged {
+		f.control.requestHeartbeats()
+	}
 	if limitChanged {
 		p.logLimit(o.Limit)
 	}
