agatefront: confirm the own links before a request is reported as a crash's cause

When a host loses its links and its connections are reset, every request in flight looks like one that crashed its upstream: the connection broke and a new one is refused. The host reported them to the control group, and all hosts refused a request after two such reports, for 30 s, although no upstream had crashed.

A crash is reported only if another upstream has responded since, or accepts a connection; the attempt waits up to 100 ms for that. An upstream that drains or is evacuated no longer counts among those that must be silent before links are checked.

Evidence: TestSystem/links-crash failed before (two lines "upstream died", then no check of the links with two of four upstreams draining) and passes.

--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -12,7 +13,8 @@
 	minSilence = 400 * time.Millisecond
 	maxSilence = 3200 * time.Millisecond
 	// minSilentUpstreams is the number of upstreams that must have left a request
-	// unanswered, or all if there are fewer.
+	// unanswered, or all that take requests if there are fewer. A single one does not
+	// tell its own failure from one of the links.
 	minSilentUpstreams = 3
 	// linkProbeInterval is the interval of probes while the links are lost, and
 	// maxLinkProbes the number of upstreams that are probed at a time.
@@ -29,7 +31,7 @@
 	// silence is the current value between minSilence and maxSilence.
 	silence  time.Duration
 	probedAt time.Time
-	probes   int // number of rounds of probes
+	probes   int // number of calls of ProbeTargets
 }
 
 // LinksLost reports whether this host has lost its links to all upstreams.
@@ -71,8 +73,7 @@
 		return nil
 	}
 	l.probedAt = now
-	l.probes++
-	return t.probeTargets()
+	return t.ProbeTargets()
 }
 
 // silent reports whether no upstream has responded lately although several were sent
@@ -80,21 +81,29 @@
 func (t *Table) silent(now time.Time) bool {
 	l := &t.links
 	l.silence = max(minSilence, l.silence)
-	if now.Sub(l.heardAt) < l.silence || len(t.upstreams) < 2 {
+	if now.Sub(l.heardAt) < l.silence {
 		return false
 	}
-	count := 0
+	usable, count := 0, 0
 	for _, u := range t.upstreams {
+		if !u.info.Draining && !slices.Contains(t.evacuated, u.info.Domain) {
+			usable++
+		}
 		if u.lastFailureAt.After(l.heardAt) || u.inFlight > 0 && now.Sub(u.unansweredSince) >= l.silence {
 			count++
 		}
 	}
-	return count >= min(minSilentUpstreams, len(t.upstreams))
+	return usable >= 2 && count >= min(minSilentUpstreams, usable)
 }
 
-// probeTargets returns up to maxLinkProbes upstreams of different failure domains, if
-// there are that many, which change with each round.
-func (t *Table) probeTargets() []UpstreamInfo {
+// HeardSince reports whether an upstream has responded, or accepted a probe, after a
+// time.
+func (t *Table) HeardSince(at time.Time) bool { return t.links.heardAt.After(at) }
+
+// ProbeTargets returns up to maxLinkProbes upstreams of different failure domains, if
+// there are that many, which change with each call.
+func (t *Table) ProbeTargets() []UpstreamInfo {
+	t.links.probes++
 	var out []UpstreamInfo
 	taken := map[string]bool{}
 	for len(out) < min(maxLinkProbes, len(t.upstreams)) {
--- a/io/agatefront/links.go
+++ b/io/agatefront/links.go
@@ -12,6 +12,13 @@
 // upstreams may have failed.
 const linkCheckInterval = 100 * time.Millisecond
 
+const (
+	// crashCheckTimeout is how long the host waits for a response of another upstream
+	// before it probes some, when an upstream seems to have crashed.
+	crashCheckTimeout  = 100 * time.Millisecond
+	crashCheckInterval = 10 * time.Millisecond
+)
+
 // watchLinks probes upstreams while none responds, until the host stops. Probes are
 // connections that later requests use.
 func (f *Front) watchLinks() {
@@ -63,6 +70,31 @@
 	return int(reached.Load())
 }
 
+// linksIntact reports whether the host has links to upstreams after a failure at
+// failedAt: another upstream has responded since, or accepts a connection. It blocks
+// for up to crashCheckTimeout and the time of one probe.
+func (f *Front) linksIntact(failedAt time.Time) bool {
+	poll := time.NewTicker(crashCheckInterval)
+	defer poll.Stop()
+	for time.Since(failedAt) < crashCheckTimeout {
+		f.mu.Lock()
+		heard := f.table.HeardSince(failedAt)
+		f.mu.Unlock()
+		if heard || f.linksLost.Load() {
+			return heard
+		}
+		select {
+		case <-f.ctx.Done():
+			return false
+		case <-poll.C:
+		}
+	}
+	f.mu.Lock()
+	targets := f.table.ProbeTargets()
+	f.mu.Unlock()
+	return f.probe(targets) > 0
+}
+
 // updateLinksLost takes over Table.LinksLost and reports whether it changed; f.mu must
 // be held. After a change the caller requests heartbeats, without f.mu: the control
 // group then sends callers to other hosts, or here again.
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -246,10 +246,7 @@
 	if res.Kind == agateupstream.Answered {
 		f.suspects.recordAnswer(p.fingerprint)
 	}
-	if res.UpstreamDied {
-		f.reportCrash(d.Upstream)
-	}
-	done()
+	failedAt := time.Now()
 	o := f.observation(&res)
 	o.Basis = d.Basis
 	f.mu.Lock()
@@ -259,6 +256,10 @@
 	if linksChanged {
 		f.control.requestHeartbeats()
 	}
+	if res.UpstreamDied && f.linksIntact(failedAt) {
+		f.reportCrash(d.Upstream)
+	}
+	done()
 	if limitChanged {
 		p.logLimit(o.Limit)
 	}
