agatelimit: entry hosts tell each other what upstreams say about their limits

What callers saw: requests refused or moved although the upstream takes them again. Hosts without a share of a low limit learned of its rise or end from their own rare probes only: after a rise from 3 to 15 the upstream got 7.0 requests per second, and with 91 hosts the last one would learn of an end after six minutes.

Cause: each host judged the limit from its own responses. Statements now go with the heartbeats to the control replicas, which keep the newest one of each upstream and pass it on to the hosts that follow them: at once when a limit changes, and once a second from all hosts together while one is in force. A statement carries its age, so no clocks are compared, and the start of the upstream's process.

--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -1,6 +1,10 @@
 package agatebalance
 
-import "time"
+import (
+	"time"
+
+	"agategate/core/agatelimit"
+)
 
 // Outcome states how an attempt ended.
 type Outcome uint8
@@ -44,7 +48,7 @@
 	Reported         bool
 	Running, Waiting int
 	// Limit is the limit that the response names, if any.
-	Limit Limit
+	Limit agatelimit.Limit
 	// Basis is the one of the decision that the attempt follows.
 	Basis Basis
 	// UpstreamDied reports that the upstream's process ended during the attempt.
--- a/core/agatebalance/limit.go
+++ b/core/agatebalance/limit.go
@@ -1,6 +1,10 @@
 package agatebalance
 
-import "time"
+import (
+	"time"
+
+	"agategate/core/agatelimit"
+)
 
 const (
 	// usableLimitShare is the fraction of an upstream's limit that the known hosts
@@ -14,63 +18,105 @@
 	// limitProbeInterval is the mean interval at which the hosts without a share of a
 	// limit, all together, send a request that shows whether the limit is in force.
 	limitProbeInterval = 4 * time.Second
+	// limitRepeatInterval is the interval at which hosts tell each other that a limit
+	// is still in force, and limitEndRepeat how long they repeat that it has ended.
+	limitRepeatInterval = time.Second
+	limitEndRepeat      = 10 * time.Second
 )
 
-// Limit is the request rate that an upstream takes from all hosts together, as it
-// names it in its responses. The zero value is no limit.
-type Limit struct {
-	Named bool
-	Rate  float64 // requests per second, at least 0
-}
-
 // limitState is what a host knows about the limit of an upstream.
 type limitState struct {
-	limit Limit
-	// namedAt is when the last response that named a limit arrived.
-	namedAt time.Time
+	limit agatelimit.Limit
+	// statedAt is the time of the newest statement: when the response that named the
+	// limit arrived, or when the request was sent whose response ended it.
+	statedAt time.Time
+	endedAt  time.Time
+	// sharedAt is the time of the newest statement that this host has shared with the
+	// others or received from them.
+	sharedAt time.Time
 	// bucket holds this host's share of the limit while one is named.
 	bucket bucket
 }
 
-// record applies the statement of a response to a request that was sent at sentAt.
-// A response without a limit ends it, unless it may be older than the last response
-// that named one. record reports whether the limit changed.
-func (l *limitState) record(now, sentAt time.Time, limit Limit) bool {
-	if limit.Named {
-		l.namedAt = now
-	} else if sentAt.Before(l.namedAt) {
+// setLimit applies a statement of an upstream, unless a newer one is known. It
+// reports whether the limit changed.
+func (t *Table) setLimit(now, at time.Time, u *upstream, limit agatelimit.Limit) (changed bool) {
+	l := &u.limit
+	if at.Before(l.statedAt) || !limit.Named && !l.limit.Named {
 		return false
 	}
-	changed := l.limit != limit
-	l.limit = limit
+	began := limit.Named && !l.limit.Named
+	changed = l.limit != limit
+	l.limit, l.statedAt = limit, at
+	switch {
+	case began:
+		l.bucket = bucket{updatedAt: now}
+		if !t.sharesLimit(u) {
+			// Spreads the probes of the hosts over their interval.
+			l.bucket.tokens = hashScore(u.info.ID, t.cfg.Host)
+		}
+	case !limit.Named:
+		l.endedAt = at
+	}
 	return changed
 }
 
-// recordLimit records the limit that a response names, and reports whether it
-// changed. Only a response from the upstream's own service can end a limit.
-func (t *Table) recordLimit(now time.Time, u *upstream, o *Observation) bool {
-	if o.Outcome != Answered && !o.Limit.Named || o.Outcome == WrongUpstream {
+// recordLimit records what a response says about the limit of an upstream, and
+// reports whether it changed. Only a response from the upstream's own service can end
+// a limit, and not if it may be older than the last one that named it.
+func (t *Table) recordLimit(now time.Time, u *upstream, o *Observation) (changed bool) {
+	at := now
+	switch {
+	case o.Outcome == WrongUpstream:
 		return false
+	case !o.Limit.Named && o.Outcome != Answered:
+		return false
+	case !o.Limit.Named:
+		at = now.Add(-o.Latency)
 	}
-	began := o.Limit.Named && !u.limit.limit.Named
-	changed := u.limit.record(now, now.Add(-o.Latency), o.Limit)
-	if began {
-		u.limit.bucket = bucket{updatedAt: now}
-		if !t.sharesLimit(u) {
-			// Spreads the probes of the hosts over their interval.
-			u.limit.bucket.tokens = hashScore(u.info.ID, t.cfg.Host)
-		}
+	changed = t.setLimit(now, at, u, o.Limit)
+	repeat := o.Limit.Named || at.Sub(u.limit.endedAt) < limitEndRepeat
+	if changed || repeat && at.Sub(u.limit.sharedAt) >= limitRepeatInterval {
+		u.limit.sharedAt = at
+		t.limits.Merge(now, []agatelimit.Report{{
+			Upstream: u.info.ID, StartedAtMs: u.info.StartedAtMs, Limit: o.Limit, Age: now.Sub(at),
+		}})
 	}
 	return changed
 }
 
-// burst is the number of requests that all hosts together may send at once.
-func (l Limit) burst() float64 { return limitBurst + l.Rate*limitBurstPeriod.Seconds() }
+// LimitReports returns the statements of upstreams that other hosts should know,
+// recorded after a cursor, and the next cursor.
+func (t *Table) LimitReports(now time.Time, cursor uint64) ([]agatelimit.Report, uint64) {
+	return t.limits.Since(now, cursor)
+}
+
+// ApplyLimits applies statements that upstreams made to other hosts, and returns
+// those that changed a limit.
+func (t *Table) ApplyLimits(now time.Time, reports []agatelimit.Report) (changes []agatelimit.Report) {
+	for _, r := range reports {
+		u := t.upstreams[r.Upstream]
+		if u == nil || u.info.StartedAtMs != r.StartedAtMs {
+			continue
+		}
+		at := now.Add(-r.Age)
+		if t.setLimit(now, at, u, r.Limit) {
+			changes = append(changes, r)
+		}
+		if at.After(u.limit.sharedAt) {
+			u.limit.sharedAt = at
+		}
+	}
+	return changes
+}
+
+// maxLimitBurst is the number of requests that all hosts together may send at once.
+func maxLimitBurst(l agatelimit.Limit) float64 { return limitBurst + l.Rate*limitBurstPeriod.Seconds() }
 
 // limitHolders is the number of hosts that share an upstream's limit, so that each
 // has a burst of at least one request.
 func (t *Table) limitHolders(u *upstream) int {
-	return min(max(1, len(t.hosts)), int(u.limit.limit.burst()))
+	return min(max(1, len(t.hosts)), int(maxLimitBurst(u.limit.limit)))
 }
 
 // sharesLimit reports whether this host has a share of an upstream's limit.
@@ -88,7 +134,7 @@
 	}
 	holders := float64(t.limitHolders(u))
 	limit := u.limit.limit
-	return max(probeRate, usableLimitShare*limit.Rate/holders), limit.burst() / holders
+	return max(probeRate, usableLimitShare*limit.Rate/holders), maxLimitBurst(limit) / holders
 }
 
 // limitAllows reports whether this host may send one more request to an upstream
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"agategate/core/agatelimit"
 	"agategate/core/agateplan"
 )
 
@@ -76,6 +77,7 @@
 	evacuated []string
 	hosts     []string // sorted
 	links     links
+	limits    agatelimit.Board // statements of upstreams to this host
 }
 
 // New returns an empty Table.
@@ -259,7 +261,7 @@
 	Latency     time.Duration // moving average
 	FailureRate float64       // 0 to 1
 	Ejected     bool
-	Limit       Limit
+	Limit       agatelimit.Limit
 }
 
 // Status returns the status of all upstreams, sorted by ID.
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -102,21 +102,22 @@
 	epoch uint64
 	id    uint64
 
-	store      *agatestore.Store
-	machine    *agatestate.Machine
-	replica    atomic.Pointer[agatereplica.Replica]
-	dialer     *agatelink.Dialer
-	sender     *agatelink.Sender
-	server     *grpc.Server
-	sessions   *sessions
-	presence   presence
-	plans      planCache
-	updates    broadcast
-	healer     *agateheal.Healer
-	contacts   contactTimes
-	clock      stateTime
-	applied    appliedTimes
-	grantState grantState
+	store          *agatestore.Store
+	machine        *agatestate.Machine
+	replica        atomic.Pointer[agatereplica.Replica]
+	dialer         *agatelink.Dialer
+	sender         *agatelink.Sender
+	server         *grpc.Server
+	sessions       *sessions
+	presence       presence
+	upstreamLimits upstreamLimits
+	plans          planCache
+	updates        broadcast
+	healer         *agateheal.Healer
+	contacts       contactTimes
+	clock          stateTime
+	applied        appliedTimes
+	grantState     grantState
 	// hasLeader is whether the replica knew a leader at the last check.
 	hasLeader atomic.Bool
 	// propagation is used only by the task that publishes the metrics.
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -10,6 +10,7 @@
 
 	"agategate/core/agateplan"
 	"agategate/core/agatestate"
+	"agategate/io/agateclient"
 	"agategate/io/agatewire"
 )
 
@@ -78,6 +79,8 @@
 	// fleet and suspects are the log indexes up to which the host is current.
 	fleet    uint64
 	suspects uint64
+	// limits is the cursor of the limits of upstreams that were sent to the host.
+	limits uint64
 	// follow is whether the host takes fleet and suspect changes from this
 	// replica.
 	follow bool
@@ -168,7 +171,11 @@
 }
 
 func (w *watchStream) handleHeartbeat(req *agatewire.WatchAsk) {
-	w.c.presence.recordHeartbeat(time.Now(), req)
+	now := time.Now()
+	w.c.presence.recordHeartbeat(now, req)
+	if w.c.upstreamLimits.merge(now, agateclient.FromWireLimits(req.Limits)) {
+		w.c.updates.notify()
+	}
 	w.follow = req.Follow
 	w.fleet = max(w.fleet, req.Fleet)
 	if req.Fleet == 0 { // the host holds no fleet state and needs all of it
@@ -203,6 +210,9 @@
 	reply.Index = delta.Index
 	reply.Full = delta.Full
 	w.suspects = max(w.suspects, delta.Index)
+	limits, cursor := c.upstreamLimits.since(time.Now(), w.limits)
+	reply.Limits = agateclient.ToWireLimits(limits)
+	w.limits = cursor
 	return reply
 }
 
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -12,6 +12,7 @@
 
 	"agategate/core/agatebalance"
 	"agategate/core/agateplan"
+	"agategate/io/agateclient"
 	"agategate/io/agatewire"
 )
 
@@ -71,6 +72,7 @@
 	synced       bool          // whether the replica knows a leader or is the leader
 	rtt          time.Duration // from the first heartbeat to its reply
 	follow       bool          // whether the replica sends changes to this host
+	limits       uint64        // cursor of the limits that were sent on the stream
 	heartbeatDue chan struct{} // triggers an immediate heartbeat
 }
 
@@ -237,6 +239,9 @@
 		return err
 	}
 	start := time.Now()
+	l.mu.Lock()
+	w.limits = 0
+	l.mu.Unlock()
 	first := l.newHeartbeat(w)
 	if admin := l.f.cfg.Admin; admin.IsValid() {
 		first.Admin = admin.String()
@@ -292,6 +297,11 @@
 	if l.hasFleet {
 		ask.Fleet = l.fleetIndex
 	}
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	reports, cursor := l.f.table.LimitReports(time.Now(), w.limits)
+	w.limits = cursor
+	ask.Limits = agateclient.ToWireLimits(reports)
 	return ask
 }
 
@@ -331,6 +341,7 @@
 	if reply.Delta && (reply.Fleet > l.fleetIndex || !l.hasFleet) {
 		l.setFleet(now, reply)
 	}
+	l.f.applyLimits(now, w.addr, reply.Limits)
 	if !l.hasFleet && !w.follow && now.Sub(l.fleetRequested) > fleetTimeout {
 		l.fleetRequested = now
 		w.follow = true
@@ -342,6 +353,20 @@
 	}
 }
 
+// applyLimits applies what upstreams told other hosts about their limits.
+func (f *Front) applyLimits(now time.Time, from netip.AddrPort, rows []*agatewire.LimitRow) {
+	if len(rows) == 0 {
+		return
+	}
+	f.mu.Lock()
+	changes := f.table.ApplyLimits(now, agateclient.FromWireLimits(rows))
+	f.mu.Unlock()
+	for _, r := range changes {
+		f.log.Info("upstream limit", "kind", "limit", "from", from, "choice", r.Upstream, "named", r.Limit.Named,
+			"limit", formatRate(r.Limit.Rate), "age", r.Age.Round(time.Millisecond))
+	}
+}
+
 func (l *controlLink) setMembers(list []string) {
 	var members []netip.AddrPort
 	for _, text := range list {
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"agategate/core/agatebalance"
+	"agategate/core/agatelimit"
 	"agategate/core/agateplan"
 	"agategate/io/agatelog"
 	"agategate/io/agatemetrics"
@@ -86,15 +86,18 @@
 
 // logLimit writes a log line on a change of an upstream's limit, which the response
 // to the request names or, if it names none, ends.
-func (p *proxyRequest) logLimit(limit agatebalance.Limit) {
+func (p *proxyRequest) logLimit(limit agatelimit.Limit) {
 	if !p.f.otherLimit.allow(time.Now(), otherLinesPerSecond) {
 		p.f.metrics.set.Counter(agatemetrics.SkippedLines, "").Add(1)
 		return
 	}
 	p.f.log.Info("upstream limit", "kind", "limit", "req", p.id, "service", p.criteria.Service, "choice", p.lastDecision.Upstream,
-		"named", limit.Named, "limit", strconv.FormatFloat(limit.Rate, 'f', 2, 64))
+		"named", limit.Named, "limit", formatRate(limit.Rate))
 }
 
+// formatRate formats requests per second for the log.
+func formatRate(rate float64) string { return strconv.FormatFloat(rate, 'f', 2, 64) }
+
 // decision returns the last decision on a request as "agategate explain" prints
 // it, with the same inputs as in the log line.
 func (p *proxyRequest) decision(r *reply, took time.Duration) *agatelog.Decision {
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"agategate/core/agatebalance"
+	"agategate/core/agatelimit"
 	"agategate/core/agateplan"
 	"agategate/core/agatesuspect"
 	"agategate/io/agateupstream"
@@ -262,6 +263,7 @@
 	done()
 	if limitChanged {
 		p.logLimit(o.Limit)
+		f.control.requestHeartbeats() // other hosts learn of it
 	}
 	p.criteria.Tried = append(p.criteria.Tried, d.Upstream)
 	p.lastResult = res.Kind.String()
@@ -436,10 +438,10 @@
 
 // parseLimit parses a limit header, a decimal number of requests per second. A
 // malformed or negative value names no limit.
-func parseLimit(text string) agatebalance.Limit {
+func parseLimit(text string) agatelimit.Limit {
 	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
 	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return agatebalance.Limit{}
+		return agatelimit.Limit{}
 	}
-	return agatebalance.Limit{Named: true, Rate: rate}
+	return agatelimit.Limit{Named: true, Rate: rate}
 }
