agatebalance: a host missing from a list of hosts counts for 3 s more

Cause: each host divides what all may use together, the rate of a cold upstream, its connections, retries and named limits, by the list of the replica that it follows. A replica that starts or loses its streams lists few hosts until they are back, and the hosts that follow it take larger shares at once.

A host counts from the first list that names it until 3 s after the last one, so shares shrink at once and grow late. Cold upstreams get nothing from a host in the first second after its first list.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -398,6 +398,9 @@
 	if !now.Before(u.coldUntil) {
 		return true
 	}
+	if now.Sub(t.hosts.firstAt) < hostSettlePeriod {
+		return false
+	}
 	rate, burst := t.coldLimit(u, s.name)
 	if math.IsInf(rate, 1) {
 		return true
@@ -412,7 +415,7 @@
 // coldLimit is this host's share of the request rate of a cold upstream, per
 // second, and of the burst.
 func (t *Table) coldLimit(u *upstream, name string) (rate, burst float64) {
-	hosts := min(maxColdHosts, len(t.hosts))
+	hosts := min(maxColdHosts, len(t.hosts.names))
 	if u.hostRank < 0 || u.hostRank >= hosts || t.plan == nil {
 		return 0, 0
 	}
--- a/core/agatebalance/doc.go
+++ b/core/agatebalance/doc.go
@@ -25,7 +25,7 @@
 //
 //	t := agatebalance.New(agatebalance.Config{Host: "e1", Region: "centro", Domain: "centro-1", Regions: regions})
 //	t.SetPlan(index)
-//	t.SetHosts(hosts)
+//	t.SetHosts(now, hosts)
 //	t.UpdateUpstreams(now, upstreams, true, nil)
 //	d := t.Choose(now, &request)
 //	if d.Upstream == "" {
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -166,5 +166,5 @@
 // host's share of MinRetries, but at least 1. Half of the size is refilled per
 // RetryWindow, so a full bucket and the refill of one window add up to the share.
 func (t *Table) retryBudgetSize() float64 {
-	return max(1, t.cfg.MinRetries/1.5/float64(max(1, len(t.hosts))))
+	return max(1, t.cfg.MinRetries/1.5/float64(t.numHosts()))
 }
--- a/core/agatebalance/limit.go
+++ b/core/agatebalance/limit.go
@@ -116,7 +116,7 @@
 // limitHolders is the number of hosts that share an upstream's limit, so that each
 // has a burst of at least one request.
 func (t *Table) limitHolders(u *upstream) int {
-	return min(max(1, len(t.hosts)), int(maxLimitBurst(u.limit.limit)))
+	return min(t.numHosts(), int(maxLimitBurst(u.limit.limit)))
 }
 
 // sharesLimit reports whether this host has a share of an upstream's limit.
@@ -128,7 +128,7 @@
 // use of an upstream's limit. All hosts together stay below the limit as long as
 // they know each other.
 func (t *Table) limitShare(u *upstream) (rate, burst float64) {
-	probeRate := 1 / (limitProbeInterval.Seconds() * float64(max(1, len(t.hosts))))
+	probeRate := 1 / (limitProbeInterval.Seconds() * float64(t.numHosts()))
 	if !t.sharesLimit(u) {
 		return probeRate, 1
 	}
--- a/core/agatebalance/limit_test.go
+++ b/core/agatebalance/limit_test.go
@@ -176,18 +176,18 @@
 		infos = append(infos, info)
 	}
 	h.table.UpdateUpstreams(now, infos, true, nil)
-	x.setHosts(h)
+	x.setHosts(now, h)
 }
 
 // setHosts tells a host the list of hosts that it sees.
-func (x *limitSim) setHosts(h *limitHost) {
+func (x *limitSim) setHosts(now time.Time, h *limitHost) {
 	var names []string
 	for _, o := range x.hosts {
 		if o == h || !o.cut && !h.cut {
 			names = append(names, o.name)
 		}
 	}
-	h.table.SetHosts(names)
+	h.table.SetHosts(now, names)
 }
 
 func (x *limitSim) after(now time.Time, d time.Duration, run func(now time.Time)) {
@@ -205,6 +205,9 @@
 			run(now)
 		}
 		delete(x.steps, step)
+		for _, h := range x.hosts {
+			h.table.ExpireHosts(now)
+		}
 		if !x.alone {
 			x.exchange(now, step)
 		}
@@ -283,9 +286,9 @@
 				h.excusedUntil = now.Add(limitGrace)
 			}
 		}
-		x.after(now, listDelay, func(time.Time) {
+		x.after(now, listDelay, func(now time.Time) {
 			for _, h := range x.hosts {
-				x.setHosts(h)
+				x.setHosts(now, h)
 			}
 		})
 	default:
--- a/core/agatebalance/sim_test.go
+++ b/core/agatebalance/sim_test.go
@@ -443,7 +443,7 @@
 	for h := range s.workload.hosts {
 		hosts = append(hosts, fmt.Sprint("h", h))
 	}
-	t.SetHosts(hosts)
+	t.SetHosts(time.Time{}, hosts)
 	t.UpdateUpstreams(s.start, s.infos(), true, nil)
 	return &tablePolicy{t: t, route: &agateplan.Route{Kind: agateplan.Safe, MaxAttempts: 2}}
 }
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"agategate/core/agatelimit"
 	"agategate/core/agateplan"
 )
@@ -75,7 +73,7 @@
 	upstreams map[string]*upstream
 	services  map[string]*service
 	evacuated []string
-	hosts     []string // sorted
+	hosts     hosts
 	links     links
 	limits    agatelimit.Board // statements of upstreams to this host
 }
@@ -92,16 +90,6 @@
 // SetPlan applies a plan.
 func (t *Table) SetPlan(plan *agateplan.Index) { t.plan = plan }
 
-// SetHosts sets the names of the entry hosts that are alive, including this one.
-// Until it is called, cold upstreams get no requests.
-func (t *Table) SetHosts(names []string) {
-	t.hosts = slices.Clone(names)
-	slices.Sort(t.hosts)
-	for _, u := range t.upstreams {
-		u.hostRank = t.hostRank(u)
-	}
-}
-
 // UpdateUpstreams adds, updates and removes upstreams. If full is set, upstreams
 // that are not listed are removed. evacuated is the complete list of evacuated
 // failure domains and replaces the previous one, also if full is not set.
@@ -191,39 +179,6 @@
 	return s
 }
 
-// hostRank is the rank of this host in an order of all hosts that is specific to
-// the upstream and that all hosts compute alike. Only the first maxColdHosts may
-// send to the upstream while it is cold, and the first ones share a limit that it
-// names. The rank is -1 if this host is not in the list of SetHosts.
-func (t *Table) hostRank(u *upstream) int {
-	own, found := hashScore(t.cfg.Host, u.info.ID), false
-	rank := 0
-	for _, h := range t.hosts {
-		if h == t.cfg.Host {
-			found = true
-			continue
-		}
-		if hashScore(h, u.info.ID) < own {
-			rank++
-		}
-	}
-	if !found {
-		return -1
-	}
-	return rank
-}
-
-// hashScore hashes two names to a number in [0, 1).
-func hashScore(a, b string) float64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(a) // a Digest never returns an error
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(b)
-	h := d.Sum64()
-	return float64(h>>11) / (1 << 53)
-}
-
 // MaxConns returns, by upstream, the number of connections that this host
 // may open: its share of the service's MaxConnections. Upstreams without a limit
 // are left out.
@@ -237,7 +192,7 @@
 			}
 		}
 		if maxConns > 0 {
-			out[id] = max(minConnsPerHost, int(usableConnShare*float64(maxConns))/max(1, len(t.hosts)))
+			out[id] = max(minConnsPerHost, int(usableConnShare*float64(maxConns))/t.numHosts())
 		}
 	}
 	return out
--- a/core/agatebalance/table_test.go
+++ b/core/agatebalance/table_test.go
@@ -88,7 +88,7 @@
 			Host: h, Region: "a", Domain: "a-1", Regions: map[string]string{"a-1": "a"}, WarmupBurst: 5,
 		})
 		table.SetPlan(plan)
-		table.SetHosts(hosts)
+		table.SetHosts(begin.Add(-time.Minute), hosts)
 		table.UpdateUpstreams(begin, []agatebalance.UpstreamInfo{cold}, true, nil)
 		tables = append(tables, table)
 	}
@@ -122,7 +122,7 @@
 	table := agatebalance.New(agatebalance.Config{
 		Host: "h1", RetryRatio: 0.1, MinRetries: 56, RetryWindow: 10 * time.Second,
 	})
-	table.SetHosts([]string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"})
+	table.SetHosts(time.Time{}, []string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"})
 	begin := time.Unix(1, 0)
 	requests, retries := 0, 0
 	for at := begin; at.Before(begin.Add(10 * time.Second)); at = at.Add(50 * time.Millisecond) {
@@ -239,7 +239,7 @@
 		t.Run(outage, func(t *testing.T) {
 			table, now := newTable(), time.Unix(1, 0)
 			table.SetPlan(agateplan.NewIndex(&agateplan.Plan{Services: []agateplan.Service{{Name: "s", WarmupRate: 1}}}))
-			table.SetHosts([]string{"h1"})
+			table.SetHosts(now.Add(-time.Minute), []string{"h1"})
 			far := newInfo("far")
 			far.Domain = "b-1"
 			near := newInfo("near")
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -154,6 +154,7 @@
 		}
 	}
 	l.chooseFollowed(now)
+	l.f.expireHosts(now)
 }
 
 // chooseFollowed follows the synced replicas with the lowest round-trip times.
@@ -386,11 +387,21 @@
 	}
 	l.hosts = names
 	f.mu.Lock()
-	f.table.SetHosts(names)
+	f.table.SetHosts(time.Now(), names)
 	f.mu.Unlock()
 	f.setMaxConns()
 }
 
+// expireHosts removes hosts that have been missing from the lists of hosts for long.
+func (f *Front) expireHosts(now time.Time) {
+	f.mu.Lock()
+	changed := f.table.ExpireHosts(now)
+	f.mu.Unlock()
+	if changed {
+		f.setMaxConns()
+	}
+}
+
 // setMaxConns limits the connections to each upstream.
 func (f *Front) setMaxConns() {
 	f.mu.Lock()
