agatecontrol: name hosts without links to callers if no host has links

If all upstreams failed at once, every host found its links lost and said that it was not ready; the directory then had no host to name, and its list settled for up to 3 s after the upstreams were back. Heartbeats now say separately that the links are lost. Such hosts are left out while another one has links, and named if none has: then the upstreams have failed and not the links of every host.

--- a/io/agatecontrol/presence.go
+++ b/io/agatecontrol/presence.go
@@ -46,6 +46,7 @@
 	callerAddr    netip.AddrPort
 	admin         netip.AddrPort // operators' interface, if the host has one
 	ready         bool
+	unlinked      bool // the host has lost its links to all upstreams
 	epoch         uint64
 	lastHeartbeat time.Time
 }
@@ -79,6 +80,9 @@
 	builtAt time.Time
 	names   []string // sorted
 	ready   []presentHost
+	// linked are the hosts of ready that have links to upstreams, or all of ready if
+	// none has: then the upstreams have failed, and not the links of every host.
+	linked []presentHost
 }
 
 // recordHeartbeat records the heartbeat of an entry host. A host without an
@@ -99,6 +103,7 @@
 		domain:        req.Domain,
 		callerAddr:    addr,
 		ready:         req.Ready,
+		unlinked:      req.Unlinked,
 		epoch:         req.Sender.GetEpoch(),
 		lastHeartbeat: now,
 	})
@@ -116,6 +121,9 @@
 		p.list.builtAt = time.Time{} // invalidates the list
 		p.lastChangeAt = w.lastHeartbeat
 	}
+	if old.unlinked != w.unlinked {
+		p.list.builtAt = time.Time{}
+	}
 	if w.ready && !(known && old.ready) && !p.anyReady(w.lastHeartbeat) {
 		p.firstReadyAt = w.lastHeartbeat
 		p.settled = false
@@ -184,6 +192,10 @@
 	}
 	slices.Sort(list.names)
 	slices.SortFunc(list.ready, func(x, y presentHost) int { return cmp.Compare(x.name, y.name) })
+	list.linked = slices.DeleteFunc(slices.Clone(list.ready), func(h presentHost) bool { return h.unlinked })
+	if len(list.linked) == 0 {
+		list.linked = list.ready
+	}
 	p.updatePeaks(now, count)
 	p.list = list
 	return &p.list
@@ -215,8 +227,8 @@
 	return float64(len(list.ready)) >= enough && now.Sub(p.lastChangeAt) >= settleQuietPeriod
 }
 
-// entries returns the ready hosts for a caller in a region, or none until the
-// list has settled.
+// entries returns the ready hosts with links to upstreams for a caller in a region,
+// or none until the list has settled.
 func (p *presence) entries(now time.Time, region string) []presentHost {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -225,7 +237,7 @@
 		return nil
 	}
 	var local, remote []presentHost
-	for _, h := range list.ready {
+	for _, h := range list.linked {
 		if h.region == region {
 			local = append(local, h)
 		} else {
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -210,9 +210,9 @@
 
 // Ready reports whether the host can serve callers: it has received the plan
 // and the list of upstreams, has links to the upstreams, and Stop has not been
-// called. Callers are not sent to a host that is not ready.
+// called.
 func (f *Front) Ready() bool {
-	return !f.stopping.Load() && !f.linksLost.Load() && f.plan.Load() != nil && f.control.hasState()
+	return !f.stopping.Load() && !f.linksLost.Load() && f.control.hasState()
 }
 
 const (
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -80,9 +80,11 @@
 func (l *controlLink) hasState() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.hasFleet && l.planRevision > 0
+	return l.hasStateLocked()
 }
 
+func (l *controlLink) hasStateLocked() bool { return l.hasFleet && l.planRevision > 0 }
+
 // fresh reports whether a synced replica has replied within freshPeriod.
 func (l *controlLink) fresh() bool {
 	l.mu.Lock()
@@ -283,7 +285,6 @@
 func (l *controlLink) newHeartbeat(w *watch) *agatewire.WatchAsk {
 	sender := l.f.sender()
 	suspects := l.f.suspects.index()
-	ready := l.f.Ready()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ask := &agatewire.WatchAsk{
@@ -291,7 +292,8 @@
 		Region:   l.f.cfg.Region,
 		Domain:   l.f.cfg.Domain,
 		Caller:   l.f.cfg.Listen.String(),
-		Ready:    ready,
+		Ready:    !l.f.stopping.Load() && l.hasStateLocked(),
+		Unlinked: l.f.linksLost.Load(),
 		Follow:   w.follow,
 		Suspects: suspects,
 	}
