agatebalance: notice lost links where open connections live on

What callers would see: a host whose new connections are refused, while a few open ones live on, rejects most requests after three attempts (503) and stays named to callers. Its few responses hid the loss, because only silence made it check its links. With many upstreams and few requests to each, as on the grown deployments, most requests need a new connection.

The host now also checks its links when no upstream has accepted a connection for 400 ms and three have refused one. The first probe goes to the upstream that responded last, so that the crash of most upstreams is not taken for a loss of links. While responses arrive, requests are still attempted; at 400 ms without one they are rejected at once. The decision to reject moves from io/agatefront to Table.Choose.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -88,6 +88,7 @@
 	ReasonBusy        Reason = "busy"      // none has room; at least one is full, too slow for the target, or excluded by a load or overflow limit
 	ReasonCold        Reason = "cold"      // none has room; at least one is cold, none is busy
 	ReasonLimited     Reason = "limit"     // none has room; at least one names a limit of which this host's share is used up, none is busy or cold
+	ReasonNoLink      Reason = "no link"   // this host has lost its links to all upstreams
 	ReasonDeadline    Reason = "late"      // no eligible upstream can respond before the deadline
 	ReasonBudget      Reason = "budget"    // the retry budget is exhausted; set by callers of AllowRetry, not by Choose
 )
@@ -163,6 +164,9 @@
 
 // Choose selects an upstream for a request or rejects it.
 func (t *Table) Choose(now time.Time, r *Request) Decision {
+	if t.linksDead(now) {
+		return Decision{Reason: ReasonNoLink, RetryAfter: minRetryAfter}
+	}
 	s := t.service(r.Service)
 	x := search{
 		t: t, s: s, r: r, now: now, localBonus: t.localBonus(s), missCost: s.work.missCost(), minBusySeconds: math.Inf(1),
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -41,6 +41,8 @@
 	// RTT is the network round-trip time measured when the connection was opened,
 	// or zero.
 	RTT time.Duration
+	// Connected reports that a new connection was opened for the attempt.
+	Connected bool
 	// Responded reports that a response arrived, if Outcome is Failed.
 	Responded bool
 	// Running and Waiting are the numbers of requests running and queued at the
@@ -102,6 +104,12 @@
 	if o.heard() {
 		t.heard(now, u)
 	}
+	switch {
+	case o.Connected:
+		t.connected(now)
+	case o.Outcome == NotSent:
+		u.unconnectedAt = now
+	}
 	if o.Outcome == WrongUpstream {
 		t.service(u.info.Service).disruptedAt = now
 	}
--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -7,13 +7,13 @@
 )
 
 const (
-	// minSilence is the time without a response of any upstream after which this
-	// host checks its own links. It doubles with each check that finds them intact,
-	// up to maxSilence, until the next response.
+	// minSilence is the time without a response of any upstream, or without a
+	// connection to any, after which failures make this host check its own links. It
+	// doubles with each check that finds them intact, up to maxSilence, until the next
+	// response.
 	minSilence = 400 * time.Millisecond
 	maxSilence = 3200 * time.Millisecond
-	// minSilentUpstreams is the number of upstreams that must have left a request
-	// unanswered, or all that take requests if there are fewer. A single one does not
+	// minSilentUpstreams is the number of upstreams that must have failed, or all that take requests if there are fewer. A single one does not
 	// tell its own failure from one of the links.
 	minSilentUpstreams = 3
 	// linkProbeInterval is the interval of probes while the links are lost, and
@@ -25,50 +25,61 @@
 // links is what this host knows about its own network links to the upstreams. If
 // they fail, all upstreams seem to fail at once, and only this host is affected.
 type links struct {
+	// lost means that no upstream accepts a new connection. Open ones may live on.
 	lost bool
-	// heardAt is when an upstream last responded or accepted a connection.
-	heardAt time.Time
+	// suspectAt is the time since which failures are attributed to the links.
+	suspectAt time.Time
+	// heardAt is when an upstream last responded, and connectedAt when one last
+	// accepted a connection.
+	heardAt, connectedAt time.Time
 	// silence is the current value between minSilence and maxSilence.
 	silence  time.Duration
 	probedAt time.Time
 	probes   int // number of calls of ProbeTargets
 }
 
-// LinksLost reports whether this host has lost its links to all upstreams.
+// LinksLost reports whether this host cannot open connections to any upstream.
 func (t *Table) LinksLost() bool { return t.links.lost }
 
+// linksDead reports whether the links are lost and open connections carry no
+// responses either.
+func (t *Table) linksDead(now time.Time) bool {
+	return t.links.lost && now.Sub(t.links.heardAt) >= minSilence
+}
+
 // heard records a response of an upstream.
 func (t *Table) heard(now time.Time, u *upstream) {
 	u.unansweredSince = now
+	t.links.heardAt = now
 	t.links.silence = minSilence
-	t.setLinksLost(now, false)
 }
 
-// setLinksLost records whether upstreams can be reached. When the links are back, it
-// discards the failures that were attributed to upstreams meanwhile.
-func (t *Table) setLinksLost(now time.Time, lost bool) {
+// connected records that an upstream accepted a connection. If the links were lost,
+// they are back, and the failures are discarded that were attributed to upstreams
+// meanwhile.
+func (t *Table) connected(now time.Time) {
 	l := &t.links
-	if l.lost && !lost {
-		for _, u := range t.upstreams {
-			if u.lastFailureAt.After(l.heardAt) {
-				u.recordSuccess()
-				u.failureRate = ewma{}
-			}
-		}
+	l.connectedAt = now
+	if !l.lost {
+		return
 	}
-	l.lost = lost
-	if !lost {
-		l.heardAt = now
+	l.lost = false
+	for _, u := range t.upstreams {
+		if u.lastFailureAt.After(l.suspectAt) {
+			u.recordSuccess()
+			u.failureRate = ewma{}
+		}
 	}
 }
 
 // LinkProbes returns upstreams to which the caller should open a connection, to tell
 // a failure of this host's links from one of the upstreams. It returns none unless
-// no upstream has responded for a while and several have left requests unanswered,
-// or the links are lost. The result of the probes is to be passed to RecordProbes.
+// no upstream has responded, or accepted a connection, for a while in which several
+// failed, or the links are lost. The result of the probes is to be passed to
+// RecordProbes.
 func (t *Table) LinkProbes(now time.Time) []UpstreamInfo {
 	l := &t.links
-	due := l.lost && now.Sub(l.probedAt) >= linkProbeInterval || !l.lost && t.silent(now)
+	due := l.lost && now.Sub(l.probedAt) >= linkProbeInterval || !l.lost && t.suspicious(now)
 	if !due {
 		return nil
 	}
@@ -76,65 +87,95 @@
 	return t.ProbeTargets()
 }
 
-// silent reports whether no upstream has responded lately although several were sent
-// requests.
-func (t *Table) silent(now time.Time) bool {
+// suspicious reports whether several upstreams have failed since any last responded,
+// or since any last accepted a connection.
+func (t *Table) suspicious(now time.Time) bool {
 	l := &t.links
 	l.silence = max(minSilence, l.silence)
-	if now.Sub(l.heardAt) < l.silence {
+	silent := now.Sub(l.heardAt) >= l.silence
+	refused := now.Sub(l.connectedAt) >= l.silence
+	if !silent && !refused {
 		return false
 	}
-	usable, count := 0, 0
+	usable, unanswered, unconnected := 0, 0, 0
 	for _, u := range t.upstreams {
 		if !u.info.Draining && !slices.Contains(t.evacuated, u.info.Domain) {
 			usable++
 		}
 		if u.lastFailureAt.After(l.heardAt) || u.inFlight > 0 && now.Sub(u.unansweredSince) >= l.silence {
-			count++
+			unanswered++
+		}
+		if u.unconnectedAt.After(l.connectedAt) {
+			unconnected++
 		}
 	}
-	return usable >= 2 && count >= min(minSilentUpstreams, usable)
+	enough := min(minSilentUpstreams, usable)
+	return usable >= 2 && (silent && unanswered >= enough || refused && unconnected >= enough)
 }
 
-// HeardSince reports whether an upstream has responded, or accepted a probe, after a
-// time.
-func (t *Table) HeardSince(at time.Time) bool { return t.links.heardAt.After(at) }
+// HeardSince reports whether an upstream has responded, or accepted a connection,
+// after a time.
+func (t *Table) HeardSince(at time.Time) bool {
+	return t.links.heardAt.After(at) || t.links.connectedAt.After(at)
+}
 
-// ProbeTargets returns up to maxLinkProbes upstreams of different failure domains, if
-// there are that many, which change with each call.
+// ProbeTargets returns up to maxLinkProbes upstreams: the one that responded last,
+// and others of different failure domains, if there are that many, which change with
+// each call.
 func (t *Table) ProbeTargets() []UpstreamInfo {
 	t.links.probes++
 	var out []UpstreamInfo
 	taken := map[string]bool{}
 	for len(out) < min(maxLinkProbes, len(t.upstreams)) {
-		best, score := (*upstream)(nil), math.Inf(1)
-		for _, u := range t.upstreams {
-			if taken[u.info.ID] {
-				continue
-			}
-			s := keyScore(uint64(t.links.probes), u.info.ID)
-			if taken[u.info.Domain] {
-				s++
-			}
-			if s < score {
-				best, score = u, s
-			}
+		next := t.lastAnswered()
+		if len(out) > 0 || next == nil {
+			next = t.nextProbeTarget(taken)
 		}
-		taken[best.info.ID], taken[best.info.Domain] = true, true
-		out = append(out, best.info)
+		taken[next.info.ID], taken[next.info.Domain] = true, true
+		out = append(out, next.info)
 	}
 	return out
 }
 
+// lastAnswered returns the upstream that responded last, or nil.
+func (t *Table) lastAnswered() (last *upstream) {
+	for _, u := range t.upstreams {
+		if !u.lastAnsweredAt.IsZero() && (last == nil || u.lastAnsweredAt.After(last.lastAnsweredAt)) {
+			last = u
+		}
+	}
+	return last
+}
+
+// nextProbeTarget returns an upstream that is not taken, if possible of a failure
+// domain that is not taken either.
+func (t *Table) nextProbeTarget(taken map[string]bool) (next *upstream) {
+	best := math.Inf(1)
+	for _, u := range t.upstreams {
+		if taken[u.info.ID] {
+			continue
+		}
+		score := keyScore(uint64(t.links.probes), u.info.ID)
+		if taken[u.info.Domain] {
+			score++
+		}
+		if score < best {
+			next, best = u, score
+		}
+	}
+	return next
+}
+
 // RecordProbes records how many of the upstreams that LinkProbes returned accepted a
-// connection. The links are lost if none did and none responded meanwhile.
+// connection. The links are lost if none did.
 func (t *Table) RecordProbes(now time.Time, reached int) {
 	l := &t.links
-	if reached == 0 && l.heardAt.After(l.probedAt) {
-		return
-	}
-	if reached > 0 {
+	switch {
+	case reached > 0:
 		l.silence = min(maxSilence, 2*max(minSilence, l.silence))
+		t.connected(now)
+	case !l.lost && !l.connectedAt.After(l.probedAt):
+		l.lost = true
+		l.suspectAt = now.Add(-maxSilence)
 	}
-	t.setLinksLost(now, reached == 0)
 }
--- a/core/agatebalance/links_test.go
+++ b/core/agatebalance/links_test.go
@@ -27,6 +27,7 @@
 //	intact TIME TIME   the host learns between the times that they are back
 //	TIME cut           requests and new connections get no answer
 //	TIME refuse        requests and new connections are refused
+//	TIME refuse-new N  new connections are refused; open ones live on to one in N upstreams
 //	TIME back          the links are back
 //	TIME crash NUMBER  the first NUMBER upstreams refuse connections for good
 //	TIME freeze TIME   the host stands still until the time
@@ -39,7 +40,8 @@
 	latency, until time.Duration
 	events         []limitEvent
 	expected       []linksExpectation
-	link           string // "", "cut" or "refuse"
+	link           string // "", "cut", "refuse" or "refuse-new"
+	live           int    // see refuse-new
 	crashed        int
 	frozenUntil    time.Duration
 	steps          map[time.Duration][]func(now time.Time)
@@ -105,6 +107,7 @@
 	linksStep       = time.Millisecond
 	linksCheck      = 100 * time.Millisecond
 	linksDialLimit  = 500 * time.Millisecond
+	linksReuse      = 10          // calls per connection
 	linksRequestMax = time.Second // time until a request without an answer is given up
 )
 
@@ -155,6 +158,10 @@
 	switch e.verb {
 	case "cut", "refuse":
 		x.link = e.verb
+	case "refuse-new":
+		n, err := strconv.Atoi(e.args[0])
+		assert.NilError(x.t, err)
+		x.link, x.live = e.verb, n
 	case "back":
 		x.link = ""
 	case "crash":
@@ -200,12 +207,14 @@
 		x.after(now, d2, func(at time.Time) { x.table.Finish(at, d.Upstream, o) })
 	}
 	switch {
-	case x.link == "refuse", x.hasCrashed(d.Upstream):
+	case x.link == "refuse-new" && x.rng.IntN(x.live) == 0:
+		finish(x.latency, agatebalance.Observation{Outcome: agatebalance.Answered})
+	case x.link == "refuse", x.link == "refuse-new", x.hasCrashed(d.Upstream):
 		finish(time.Millisecond, agatebalance.Observation{Outcome: agatebalance.NotSent})
 	case x.link == "cut":
 		finish(linksRequestMax, agatebalance.Observation{Outcome: agatebalance.TimedOut})
 	default:
-		finish(x.latency, agatebalance.Observation{Outcome: agatebalance.Answered})
+		finish(x.latency, agatebalance.Observation{Outcome: agatebalance.Answered, Connected: x.rng.IntN(linksReuse) == 0})
 	}
 }
 
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -57,6 +57,7 @@
 	// unansweredSince is when the upstream last responded, or when the first request
 	// in flight was sent if that is later.
 	unansweredSince time.Time
+	unconnectedAt   time.Time // when a connection to the upstream last failed to open
 	// otherLoad is the number of requests of other hosts running or queued at the
 	// upstream, as reported.
 	otherLoad      ewma
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -41,10 +41,6 @@
 // while an upstream may still be processing it.
 const reasonTimeout = "timeout"
 
-// reasonNoLink is the reason of the reply to a request at a host that has lost its
-// links to all upstreams.
-const reasonNoLink = "no link"
-
 // proxyRequest is the state of one request in progress.
 type proxyRequest struct {
 	f           *Front
@@ -127,9 +123,6 @@
 		return reply{status: http.StatusServiceUnavailable, retryAfter: after, reason: "crashes upstreams"}
 	}
 	for first := true; ; first = false {
-		if p.f.linksLost.Load() {
-			return p.linksLost()
-		}
 		if !first {
 			if r, ok := p.match(); !ok {
 				return r
@@ -217,8 +210,15 @@
 }
 
 // giveUp returns the reply to a request that cannot be attempted, or cannot be
-// attempted again.
+// attempted again. A host without links sends the caller to another one.
 func (p *proxyRequest) giveUp(d agatebalance.Decision) reply {
+	r := p.failure(d)
+	r.preferOtherHost = p.f.linksLost.Load()
+	return r
+}
+
+// failure returns the reply to a request that ends without a success.
+func (p *proxyRequest) failure(d agatebalance.Decision) reply {
 	switch {
 	case p.lastFailure != nil && (p.mayHaveRun || p.route.Kind == agateplan.Safe):
 		return *p.lastFailure
@@ -230,14 +230,6 @@
 	return reply{status: http.StatusServiceUnavailable, retryAfter: max(d.RetryAfter, minRetryAfter), reason: string(d.Reason)}
 }
 
-// linksLost returns the reply to a request at a host without links to upstreams.
-// Another host can serve the caller at once.
-func (p *proxyRequest) linksLost() reply {
-	r := p.giveUp(agatebalance.Decision{Reason: reasonNoLink})
-	r.preferOtherHost = true
-	return r
-}
-
 // attempt sends the request to one upstream. The reply is final if it is to be
 // sent to the caller or if the caller has disconnected.
 func (p *proxyRequest) attempt(d agatebalance.Decision) (reply, bool) {
@@ -399,7 +391,7 @@
 
 // observation converts the result of an attempt for the load-balancing table.
 func (f *Front) observation(res *agateupstream.Result) agatebalance.Observation {
-	o := agatebalance.Observation{Latency: res.Elapsed, RTT: res.RTT, UpstreamDied: res.UpstreamDied, Responded: res.Status != 0}
+	o := agatebalance.Observation{Latency: res.Elapsed, RTT: res.RTT, UpstreamDied: res.UpstreamDied, Responded: res.Status != 0, Connected: res.Connected}
 	o.Running, o.Waiting, o.Reported = parseLoad(res.Header.Get(f.headers.Load))
 	o.Limit = parseLimit(res.Header.Get(f.headers.Limit))
 	switch res.Kind {
--- a/io/agateupstream/call.go
+++ b/io/agateupstream/call.go
@@ -103,6 +103,8 @@
 	// UpstreamDied reports that the connection broke while the request was in
 	// flight and that the upstream's process probably ended.
 	UpstreamDied bool
+	// Connected reports that a new connection was opened for the call.
+	Connected bool
 	// RetryAfter is the Retry-After time of the response, or 0.
 	RetryAfter time.Duration
 	Elapsed    time.Duration
