agatebalance: a host that has just started uses cold upstreams again

TestSystem/explain failed: with the rule that a host sends nothing to cold upstreams in the first second after its first list, a retry 60 ms after the start found the only other upstream cold and was refused. The rule had no test that needs it, and TestShortHostListsKeepShares passes without it, so it is removed. A host that starts while its replica has a short list may still take too large a share for a moment.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -402,9 +402,6 @@
 	if !now.Before(u.coldUntil) {
 		return true
 	}
-	if now.Sub(t.hosts.firstAt) < hostSettlePeriod {
-		return false
-	}
 	rate, burst := t.coldLimit(u, s.name)
 	if math.IsInf(rate, 1) {
 		return true
--- a/core/agatebalance/hosts.go
+++ b/core/agatebalance/hosts.go
@@ -8,15 +8,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// hostRetention is how long a host that is missing from the list still counts
-	// among those that share a limit. A control replica that starts, or loses its
-	// streams, lists few hosts until they are back.
-	hostRetention = 3 * time.Second
-	// hostSettlePeriod is the time after the first list in which this host sends
-	// nothing to cold upstreams, because the list may be short.
-	hostSettlePeriod = time.Second
-)
+// hostRetention is how long a host that is missing from the list still counts
+// among those that share a limit. A control replica that starts, or loses its
+// streams, lists few hosts until they are back.
+const hostRetention = 3 * time.Second
 
 // hosts are the entry hosts among which this one divides what all may use together.
 // A host counts from the first list that names it, and for hostRetention after the
@@ -24,15 +19,13 @@
 type hosts struct {
 	names   []string             // sorted; all that count
 	missing map[string]time.Time // those that the current list lacks, and since when
-	firstAt time.Time            // of the first list
 }
 
 // SetHosts sets the names of the entry hosts that are alive, including this one.
 // Until it is called, cold upstreams get no requests.
 func (t *Table) SetHosts(now time.Time, names []string) {
 	h := &t.hosts
-	if h.firstAt.IsZero() {
-		h.firstAt = now
+	if h.missing == nil {
 		h.missing = map[string]time.Time{}
 	}
 	for _, name := range h.names {
