agatefront: a caller that leaves before its request is written ejects no upstream

What callers saw: an upstream out of use for 0.5 to 4 s after a caller had left at the wrong moment.

Evidence: TestCallerThatLeftIsNoFailure failed (NotSent instead of Canceled).

--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -394,6 +395,10 @@
 	o := agatebalance.Observation{Latency: res.Elapsed, RTT: res.RTT, UpstreamDied: res.UpstreamDied, Responded: res.Status != 0, Connected: res.Connected}
 	o.Running, o.Waiting, o.Reported = parseLoad(res.Header.Get(f.headers.Load))
 	o.Limit = parseLimit(res.Header.Get(f.headers.Limit))
+	if errors.Is(res.Err, agateupstream.ErrWriteRejected) {
+		o.Outcome = agatebalance.Canceled // the caller left before the request was written
+		return o
+	}
 	switch res.Kind {
 	case agateupstream.Answered:
 		o.Outcome = agatebalance.Answered
