--- a/core/agatebalance/limit.go
+++ b/core/agatebalance/limit.go
@@ -110,13 +110,15 @@
 	return changes
 }
 
-// maxLimitBurst is the number of requests that all hosts together may send at once.
-func maxLimitBurst(l agatelimit.Limit) float64 { return limitBurst + l.Rate*limitBurstPeriod.Seconds() }
+// totalLimitBurst is the number of requests that all hosts together may send at once.
+func totalLimitBurst(l agatelimit.Limit) float64 {
+	return limitBurst + l.Rate*limitBurstPeriod.Seconds()
+}
 
 // limitHolders is the number of hosts that share an upstream's limit, so that each
 // has a burst of at least one request.
 func (t *Table) limitHolders(u *upstream) int {
-	return min(t.numHosts(), int(maxLimitBurst(u.limit.limit)))
+	return min(t.numHosts(), int(totalLimitBurst(u.limit.limit)))
 }
 
 // sharesLimit reports whether this host has a share of an upstream's limit.
@@ -134,7 +136,7 @@
 	}
 	holders := float64(t.limitHolders(u))
 	limit := u.limit.limit
-	return max(probeRate, usableLimitShare*limit.Rate/holders), maxLimitBurst(limit) / holders
+	return max(probeRate, usableLimitShare*limit.Rate/holders), totalLimitBurst(limit) / holders
 }
 
 // limitAllows reports whether this host may send one more request to an upstream
--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -13,8 +13,9 @@
 	// response.
 	minSilence = 400 * time.Millisecond
 	maxSilence = 3200 * time.Millisecond
-	// minSilentUpstreams is the number of upstreams that must have failed, or all that take requests if there are fewer. A single one does not
-	// tell its own failure from one of the links.
+	// minSilentUpstreams is the number of upstreams that must have failed, or all that
+	// take requests if there are fewer. The failure of a single one does not tell
+	// whether it or the link is at fault.
 	minSilentUpstreams = 3
 	// linkProbeInterval is the interval of probes while the links are lost, and
 	// maxLinkProbes the number of upstreams that are probed at a time.
@@ -125,14 +126,11 @@
 func (t *Table) ProbeTargets() []UpstreamInfo {
 	t.links.probes++
 	var out []UpstreamInfo
-	taken := map[string]bool{}
+	if u := t.lastAnswered(); u != nil {
+		out = append(out, u.info)
+	}
 	for len(out) < min(maxLinkProbes, len(t.upstreams)) {
-		next := t.lastAnswered()
-		if len(out) > 0 || next == nil {
-			next = t.nextProbeTarget(taken)
-		}
-		taken[next.info.ID], taken[next.info.Domain] = true, true
-		out = append(out, next.info)
+		out = append(out, t.nextProbeTarget(out).info)
 	}
 	return out
 }
@@ -147,16 +145,16 @@
 	return last
 }
 
-// nextProbeTarget returns an upstream that is not taken, if possible of a failure
-// domain that is not taken either.
-func (t *Table) nextProbeTarget(taken map[string]bool) (next *upstream) {
+// nextProbeTarget returns an upstream that is not among the chosen ones, if possible
+// of a failure domain of which none is.
+func (t *Table) nextProbeTarget(chosen []UpstreamInfo) (next *upstream) {
 	best := math.Inf(1)
 	for _, u := range t.upstreams {
-		if taken[u.info.ID] {
+		if slices.ContainsFunc(chosen, func(c UpstreamInfo) bool { return c.ID == u.info.ID }) {
 			continue
 		}
 		score := keyScore(uint64(t.links.probes), u.info.ID)
-		if taken[u.info.Domain] {
+		if slices.ContainsFunc(chosen, func(c UpstreamInfo) bool { return c.Domain == u.info.Domain }) {
 			score++
 		}
 		if score < best {
