agatebalance: a saturated host does not take its links for lost

Cause: with eight times the traffic of a failure domain, the network interfaces of its hosts are full for more than half a second. Connections to upstreams time out, 35 checks found the links lost, and the directory named hosts of other regions.

The host now also connects to the control replicas that it follows. If none accepts within 250 ms, half of the time that an upstream has, the host is saturated and its links are not judged.

--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -165,13 +165,16 @@
 }
 
 // RecordProbes records how many of the upstreams that LinkProbes returned accepted a
-// connection. The links are lost if none did.
-func (t *Table) RecordProbes(now time.Time, reached int) {
+// connection. The links are lost if none did, unless the host is saturated: then the
+// host or its network interface is overloaded, and connections to anything are slow.
+func (t *Table) RecordProbes(now time.Time, reached int, saturated bool) {
 	l := &t.links
 	switch {
 	case reached > 0:
-		l.silence = min(maxSilence, 2*max(minSilence, l.silence))
 		t.connected(now)
+		fallthrough
+	case saturated:
+		l.silence = min(maxSilence, 2*max(minSilence, l.silence))
 	case !l.lost && !l.connectedAt.After(l.probedAt):
 		l.lost = true
 		l.suspectAt = now.Add(-maxSilence)
--- a/core/agatebalance/links_test.go
+++ b/core/agatebalance/links_test.go
@@ -26,6 +26,7 @@
 //	lost TIME TIME     the host learns between the times that its links are lost
 //	intact TIME TIME   the host learns between the times that they are back
 //	TIME cut           requests and new connections get no answer
+//	TIME saturate      nothing gets an answer, and the control group answers late as well
 //	TIME refuse        requests and new connections are refused
 //	TIME refuse-new N  new connections are refused; open ones live on to one in N upstreams
 //	TIME back          the links are back
@@ -143,7 +144,7 @@
 				reached, took := x.probe(targets)
 				x.after(now, took, func(now time.Time) {
 					probing = false
-					x.table.RecordProbes(now, reached)
+					x.table.RecordProbes(now, reached, x.link == "saturate")
 				})
 			}
 		}
@@ -156,7 +157,7 @@
 
 func (x *linksSim) apply(e limitEvent) {
 	switch e.verb {
-	case "cut", "refuse":
+	case "cut", "refuse", "saturate":
 		x.link = e.verb
 	case "refuse-new":
 		n, err := strconv.Atoi(e.args[0])
@@ -186,7 +187,7 @@
 func (x *linksSim) probe(targets []agatebalance.UpstreamInfo) (reached int, took time.Duration) {
 	for _, u := range targets {
 		switch {
-		case x.link == "cut":
+		case x.link == "cut", x.link == "saturate":
 			took = linksDialLimit
 		case x.link == "" && !x.hasCrashed(u.ID):
 			reached++
@@ -211,7 +212,7 @@
 		finish(x.latency, agatebalance.Observation{Outcome: agatebalance.Answered})
 	case x.link == "refuse", x.link == "refuse-new", x.hasCrashed(d.Upstream):
 		finish(time.Millisecond, agatebalance.Observation{Outcome: agatebalance.NotSent})
-	case x.link == "cut":
+	case x.link == "cut", x.link == "saturate":
 		finish(linksRequestMax, agatebalance.Observation{Outcome: agatebalance.TimedOut})
 	default:
 		finish(x.latency, agatebalance.Observation{Outcome: agatebalance.Answered, Connected: x.rng.IntN(linksReuse) == 0})
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -190,6 +190,18 @@
 	}
 }
 
+// followed returns the addresses of the replicas that the host follows.
+func (l *controlLink) followed() (addrs []netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range l.watches {
+		if w.follow {
+			addrs = append(addrs, w.addr)
+		}
+	}
+	return addrs
+}
+
 // requestHeartbeat triggers an immediate heartbeat.
 func (w *watch) requestHeartbeat() {
 	select {
--- a/io/agatefront/links.go
+++ b/io/agatefront/links.go
@@ -1,17 +1,24 @@
 package agatefront
 
 import (
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"agategate/core/agatebalance"
+	"agategate/io/agateupstream"
 )
 
 // linkCheckInterval is how often the host checks whether its own links to the
 // upstreams may have failed.
 const linkCheckInterval = 100 * time.Millisecond
 
+// referenceTimeout is the time in which a control replica accepts a connection if the
+// host is not saturated: several round trips between regions, and half of the time
+// that an upstream has.
+const referenceTimeout = agateupstream.DefaultConnectTimeout / 2
+
 const (
 	// crashCheckTimeout is how long the host waits for a response of another upstream
 	// before it probes some, when an upstream seems to have crashed.
@@ -42,16 +49,19 @@
 		return
 	}
 	start := time.Now()
+	reference := make(chan bool, 1)
+	go func() { reference <- f.reachesReplica() }()
 	reached := f.probe(targets)
+	saturated := !<-reference
 	f.mu.Lock()
-	f.table.RecordProbes(time.Now(), reached)
+	f.table.RecordProbes(time.Now(), reached, saturated)
 	changed := f.updateLinksLost()
 	f.mu.Unlock()
 	if changed {
 		f.control.requestHeartbeats()
 	}
 	if lost := f.linksLost.Load(); changed || !lost {
-		f.log.Info("links checked", "kind", "links", "lost", lost, "probes", len(targets), "reached", reached, "took", time.Since(start).Round(time.Millisecond))
+		f.log.Info("links checked", "kind", "links", "lost", lost, "probes", len(targets), "reached", reached, "saturated", saturated, "took", time.Since(start).Round(time.Millisecond))
 	}
 }
 
@@ -70,6 +80,28 @@
 	return int(reached.Load())
 }
 
+// reachesReplica reports whether a control replica that the host follows accepts a
+// connection within referenceTimeout, as a comparison for the upstreams.
+func (f *Front) reachesReplica() bool {
+	dialer := net.Dialer{Timeout: referenceTimeout}
+	reached := make(chan bool)
+	followed := f.control.followed()
+	for _, addr := range followed {
+		go func() {
+			c, err := dialer.DialContext(f.ctx, "tcp", addr.String())
+			if err == nil {
+				_ = c.Close() // it carried nothing
+			}
+			reached <- err == nil
+		}()
+	}
+	found := false
+	for range followed {
+		found = <-reached || found
+	}
+	return found
+}
+
 // linksIntact reports whether the host has links to upstreams after a failure at
 // failedAt: another upstream has responded since, or accepts a connection. It blocks
 // for up to crashCheckTimeout and the time of one probe.
