agatelink: connecting does not wait for an attempt that began before the peer was up

After a power failure of all hosts, callers got nothing for 2.5 s. All processes start within 0.3 s of each other, in any order; an attempt to connect to a host that is not up yet hangs, and the next one followed after 0.4 s and a pause.

A connection is now opened by several attempts, 100 ms apart, of which the first that is answered counts. Election timeouts are unchanged. TestDialRepeatedly fails with one attempt: 400 ms and an error instead of 200 ms.

The wait until the list of hosts has settled (600 ms) was tried at 400 ms and reverted: its reason, hosts that reconnect up to 550 ms apart, is what TestPresence plays.

--- a/io/agatelink/link.go
+++ b/io/agatelink/link.go
@@ -54,9 +54,7 @@
 	// without calls.
 	maxConnectionIdle = 10 * time.Minute
 	handshakeTimeout  = 2 * time.Second
-	// connectTimeout limits one attempt to connect. It is shorter than the 1 s
-	// after which the kernel retransmits a lost SYN, so that an attempt that began
-	// before the peer host was up is soon replaced by a new one.
+	// connectTimeout limits the time to connect, in which several attempts are made.
 	connectTimeout = 400 * time.Millisecond
 )
 
@@ -88,7 +86,11 @@
 	if cfg.Dial == nil {
 		dialer := agatesocket.NewDialer(agatesocket.Config{ConnectTimeout: connectTimeout})
 		cfg.Dial = func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", addr.String())
+			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+			defer cancel()
+			return dialRepeatedly(ctx, func(ctx context.Context) (net.Conn, error) {
+				return dialer.DialContext(ctx, "tcp", addr.String())
+			})
 		}
 	}
 	return &Dialer{cfg: cfg, conns: make(map[netip.AddrPort]*peerConn)}
