agatebalance, agatefront: safe requests whose response takes long are sent once more

A safe request without a response is therefore sent once more to the same upstream: early enough to be in time while most objects that the host does not know are not cached, else after 1.6 times the usual response time. The copy counts against the retry budget and yields to retries, rejections, cold, limited and slow upstreams; the first answer counts, the other run is cancelled. Copies to upstreams that make them wait for the first run stop by themselves. Unsafe requests are never copied. The log line names the object and the copy.

--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -53,6 +53,10 @@
 	Limit agatelimit.Limit
 	// Basis is the one of the decision that the attempt follows.
 	Basis Basis
+	// Hedged reports that a copy of the request was sent while it ran, and
+	// CopyAnswered that the copy was answered first. The latency is then the time
+	// from the start of the original to the response to the copy.
+	Hedged, CopyAnswered bool
 	// UpstreamDied reports that the upstream's process ended during the attempt.
 	UpstreamDied bool
 }
@@ -143,8 +147,11 @@
 		return
 	}
 	seconds := max(minServiceSeconds, o.Latency.Seconds()-u.rttSeconds())
-	work := &t.service(u.info.Service).work
-	work.add(b, seconds, u.slowness.value(now, work))
+	s := t.service(u.info.Service)
+	work := &s.work
+	slowness := u.slowness.value(now, work)
+	s.hedging.record(work, o, seconds/slowness)
+	work.add(b, seconds, slowness)
 	u.slowness.add(now, b, seconds)
 	if b.affinityKey != 0 {
 		u.known.add(b.affinityKey)
@@ -155,6 +162,15 @@
 // attempt, and consumes it from the budget.
 func (t *Table) AllowRetry(now time.Time, name string) bool {
 	s := t.service(name)
+	if !t.takeRetry(now, s) {
+		s.hedging.scarceAt = now
+		return false
+	}
+	return true
+}
+
+// takeRetry consumes one attempt from the retry budget of a service, if it has one.
+func (t *Table) takeRetry(now time.Time, s *service) bool {
 	s.retryBudget.refill(now, t.retryBudgetSize()/t.cfg.RetryWindow.Seconds()/2, t.retryBudgetSize())
 	if s.retryBudget.tokens < 1 {
 		return false
--- a/core/agatebalance/sim_test.go
+++ b/core/agatebalance/sim_test.go
@@ -34,11 +34,14 @@
 	// movedShare is the share of the callers of the second region that are in the
 	// third region in the first quarter.
 	movedShare float64
+	// noHedges sends no copies of slow requests. sharedLoads makes a copy wait until
+	// the original has loaded the object.
+	noHedges, sharedLoads bool
 }
 
 // result is the outcome of a simulation.
 type result struct {
-	requests, inTime, late, rejected, failed int
+	requests, inTime, late, rejected, failed, copies int
 	// shift is the largest share of a region's requests that moved to other
 	// regions from one window to the next.
 	shift float64
@@ -54,6 +57,9 @@
 	choose(now time.Time, key uint64, target, deadline time.Time, tried []string) agatebalance.Decision
 	start(now time.Time, id string)
 	finish(now time.Time, id string, o agatebalance.Observation)
+	// hedgeDelay and allowHedge are as in Table.
+	hedgeDelay(now time.Time, r *simRequest, target time.Time) (time.Duration, bool)
+	allowHedge(now time.Time, id string) bool
 }
 
 // tablePolicy uses the Table under test.
@@ -65,6 +71,7 @@
 
 func (p *tablePolicy) choose(now time.Time, key uint64, target, deadline time.Time, tried []string) agatebalance.Decision {
 	p.n++
+	p.t.RecordRequest(now, "s")
 	return p.t.Choose(now, &agatebalance.Request{
 		ID: fmt.Sprint(p.n), Service: "s", Route: p.route, AffinityKey: key, Target: target, Deadline: deadline, Tried: tried,
 	})
@@ -76,6 +83,12 @@
 	p.t.Finish(now, id, o)
 }
 
+func (p *tablePolicy) hedgeDelay(now time.Time, r *simRequest, target time.Time) (time.Duration, bool) {
+	return p.t.HedgeDelay(now, &agatebalance.Request{Service: "s", Route: p.route, Target: target}, &r.decision)
+}
+
+func (p *tablePolicy) allowHedge(now time.Time, id string) bool { return p.t.AllowHedge(now, id) }
+
 // baseline is a simple policy for comparison. It selects the lowest sum of the
 // host's own requests in flight, a cost for other regions and a weighted hash of
 // the object, among upstreams with less than maxLoad requests per slot.
@@ -121,6 +134,11 @@
 	return weights
 }
 
+func (p *baseline) hedgeDelay(time.Time, *simRequest, time.Time) (time.Duration, bool) {
+	return 0, false
+}
+func (p *baseline) allowHedge(time.Time, string) bool { return false }
+
 func (p *baseline) start(_ time.Time, id string) { p.inFlight[id]++ }
 
 func (p *baseline) finish(_ time.Time, id string, _ agatebalance.Observation) { p.inFlight[id]-- }
@@ -146,6 +164,13 @@
 	decision  agatebalance.Decision
 	attempts  int
 	retried   bool // by the caller, after a rejection
+	// other is the original of a copy, or the copy of an original.
+	other    *simRequest
+	isCopy   bool
+	started  bool // an upstream runs or has run it
+	ended    bool // answered, shed or canceled
+	canceled bool
+	endsAt   time.Time
 }
 
 // event runs a function at a time.
@@ -315,8 +340,41 @@
 	r.sentAt = now
 	r.decision = d
 	r.attempts++
+	r.other, r.started, r.ended, r.canceled = nil, false, false, false
+	attempt := r.attempts
 	s.hosts[r.host].start(now, d.Upstream)
 	s.schedule(now.Add(s.delay(r)), func(now time.Time) { s.arrive(now, r) })
+	if delay, ok := s.hosts[r.host].hedgeDelay(now, r, now.Add(s.workload.target)); ok && !s.workload.noHedges {
+		s.schedule(now.Add(delay), func(now time.Time) {
+			if r.attempts == attempt {
+				s.hedge(now, r)
+			}
+		})
+	}
+}
+
+// hedge sends a copy of a request to the same upstream if the policy allows.
+func (s *sim) hedge(now time.Time, r *simRequest) {
+	if r.ended || !s.hosts[r.host].allowHedge(now, r.upstream.info.ID) {
+		return
+	}
+	s.result.copies++
+	s.hosts[r.host].start(now, r.upstream.info.ID)
+	c := &simRequest{key: r.key, host: r.host, arrivedAt: r.arrivedAt, sentAt: r.sentAt, upstream: r.upstream, decision: r.decision, attempts: r.attempts, retried: r.retried, other: r, isCopy: true}
+	r.other = c
+	s.schedule(now.Add(s.delay(c)), func(now time.Time) { s.arrive(now, c) })
+}
+
+// cancel ends the other one of an original and its copy.
+func (s *sim) cancel(now time.Time, r *simRequest) {
+	s.hosts[r.host].finish(now, r.upstream.info.ID, agatebalance.Observation{Outcome: agatebalance.Canceled})
+	r.ended = true
+	s.schedule(now.Add(s.delay(r)), func(now time.Time) {
+		r.canceled = true
+		if r.started && now.Before(r.endsAt) {
+			s.freeSlot(now, r.upstream)
+		}
+	})
 }
 
 // reject lets the caller retry once before the deadline.
@@ -340,6 +398,7 @@
 func (s *sim) arrive(now time.Time, r *simRequest) {
 	u := r.upstream
 	switch {
+	case r.canceled:
 	case u.running < u.info.Slots:
 		s.run(now, r)
 	case len(u.queue) < simQueuePerSlot*u.info.Slots:
@@ -353,12 +412,19 @@
 func (s *sim) run(now time.Time, r *simRequest) {
 	u := r.upstream
 	u.running++
-	s.recordExecution(now, r)
+	r.started = true
+	if !r.isCopy {
+		s.recordExecution(now, r)
+	}
 	serviceTime := s.workload.serviceTime.Seconds() * (0.85 + 0.3*s.rng.Float64()) * u.slowFactor
 	if u.access(r.key, s.workload.cacheSize) {
 		serviceTime *= s.workload.cachedFactor
 	}
-	s.schedule(now.Add(time.Duration(serviceTime*float64(time.Second))), func(now time.Time) { s.finishRun(now, r) })
+	r.endsAt = now.Add(time.Duration(serviceTime * float64(time.Second)))
+	if s.workload.sharedLoads && r.isCopy && r.other.started {
+		r.endsAt = r.other.endsAt.Add(time.Millisecond)
+	}
+	s.schedule(r.endsAt, func(now time.Time) { s.finishRun(now, r) })
 }
 
 func (s *sim) recordExecution(now time.Time, r *simRequest) {
@@ -392,20 +458,42 @@
 }
 
 func (s *sim) finishRun(now time.Time, r *simRequest) {
-	u := r.upstream
+	if r.canceled {
+		return
+	}
+	s.freeSlot(now, r.upstream)
+	s.respond(now, r, agatebalance.Answered)
+}
+
+// freeSlot ends a run and starts the next one of the queue.
+func (s *sim) freeSlot(now time.Time, u *simUpstream) {
 	u.running--
-	if len(u.queue) > 0 {
+	for len(u.queue) > 0 {
 		next := u.queue[0]
 		u.queue = u.queue[1:]
-		s.run(now, next)
+		if !next.canceled {
+			s.run(now, next)
+			return
+		}
 	}
-	s.respond(now, r, agatebalance.Answered)
 }
 
 func (s *sim) respond(now time.Time, r *simRequest, outcome agatebalance.Outcome) {
 	u := r.upstream
 	o := agatebalance.Observation{Outcome: outcome, Reported: !s.workload.noLoadReports, Running: u.running, Waiting: len(u.queue)}
 	s.schedule(now.Add(s.delay(r)), func(now time.Time) {
+		if r.ended {
+			return // its other copy was answered first
+		}
+		r.ended = true
+		if outcome == agatebalance.Shed && r.other != nil && !r.other.ended {
+			s.hosts[r.host].finish(now, u.info.ID, o)
+			return
+		}
+		if r.other != nil && !r.other.ended {
+			s.cancel(now, r.other)
+		}
+		o.Hedged, o.CopyAnswered = r.other != nil, r.isCopy
 		o.Latency = now.Sub(r.sentAt)
 		o.RTT = 2 * s.delay(r)
 		o.Basis = r.decision.Basis
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -173,6 +173,7 @@
 	localBonusValid bool
 	work            workTimes
 	retryBudget     bucket
+	hedging         hedging
 	overflow        overflow
 	homes           homeShares
 	// disruptedAt is when an upstream was last removed, began to drain, expired,
--- /dev/null
+++ b/io/agatefront/hedge.go
@@ -0,0 +1,167 @@
+package agatefront
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"agategate/core/agatebalance"
+	"agategate/core/agateplan"
+	"agategate/io/agatemetrics"
+	"agategate/io/agateupstream"
+)
+
+// attempt is one copy of a request on its way to an upstream.
+type attempt struct {
+	p *proxyRequest
+	d agatebalance.Decision
+	// startedAt is when the original was started, also for a copy.
+	startedAt time.Time
+	// written is set immediately before the first byte is written.
+	written atomic.Bool
+	// hedge is nil if no copy of the request may be sent.
+	hedge  *hedge
+	isCopy bool
+}
+
+// hedge sends a copy of a request whose response takes long, see
+// agatebalance.Table.HedgeDelay. The first answer counts; the other one is canceled.
+type hedge struct {
+	original       *attempt
+	cancelOriginal context.CancelFunc
+	copyContext    context.Context
+	cancelCopy     context.CancelFunc
+	sent           atomic.Bool
+	answered       atomic.Bool   // one of both is answered
+	done           chan struct{} // closed when the copy has ended or will not be sent
+	result         agateupstream.Result
+}
+
+// send sends the request to the chosen upstream and returns the result.
+func (p *proxyRequest) send(d agatebalance.Decision) agateupstream.Result {
+	a := &attempt{p: p, d: d, startedAt: time.Now()}
+	delay, ok := p.hedgeDelay(&d)
+	if !ok {
+		return a.run(p.context())
+	}
+	ctx, cancel := context.WithCancel(p.context())
+	defer cancel()
+	copyContext, cancelCopy := context.WithCancel(p.context())
+	defer cancelCopy()
+	h := &hedge{original: a, cancelOriginal: cancel, copyContext: copyContext, cancelCopy: cancelCopy, done: make(chan struct{})}
+	a.hedge = h
+	timer := time.AfterFunc(delay, h.sendCopy)
+	res := a.run(ctx)
+	if timer.Stop() {
+		return res
+	}
+	if usable(&res) {
+		cancelCopy()
+	}
+	<-h.done
+	p.hedged = h.sent.Load()
+	if p.hedged && !usable(&res) && usable(&h.result) {
+		p.copyAnswered = true
+		return h.result
+	}
+	return res
+}
+
+// hedgeDelay returns the delay after which a copy may be sent, or false if the request
+// must not be sent twice.
+func (p *proxyRequest) hedgeDelay(d *agatebalance.Decision) (time.Duration, bool) {
+	if p.route.Kind != agateplan.Safe {
+		return 0, false
+	}
+	p.f.mu.Lock()
+	defer p.f.mu.Unlock()
+	return p.f.table.HedgeDelay(time.Now(), &p.criteria, d)
+}
+
+// sendCopy sends the copy unless the original has not been written: then its
+// connection is slow and not the upstream.
+func (h *hedge) sendCopy() {
+	defer close(h.done)
+	a := h.original
+	if !a.written.Load() || !a.p.f.allowHedge(a.d.Upstream) {
+		return
+	}
+	h.sent.Store(true)
+	a.p.f.metrics.hedge(a.p.criteria.Service)
+	c := &attempt{p: a.p, d: a.d, startedAt: a.startedAt, hedge: h, isCopy: true}
+	h.result = c.run(h.copyContext)
+	if usable(&h.result) {
+		h.cancelOriginal()
+	}
+}
+
+// allowHedge reports whether a copy may be sent to an upstream, and records there that
+// it is.
+func (f *Front) allowHedge(upstream string) bool {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.table.AllowHedge(now, upstream) {
+		return false
+	}
+	f.table.Start(now, upstream)
+	return true
+}
+
+// usable reports whether a result is the answer to the caller.
+func usable(res *agateupstream.Result) bool {
+	return res.Kind == agateupstream.Answered && res.Status < 500 && !meansNotRun(res.Status)
+}
+
+// run sends the request and records the result.
+func (a *attempt) run(ctx context.Context) agateupstream.Result {
+	p, f := a.p, a.p.f
+	done := f.suspects.start(p.fingerprint, a.d.Upstream)
+	defer done()
+	call := p.call(a.d)
+	call.BeforeWrite = func() bool {
+		a.written.Store(true)
+		return p.c.ctx.Err() == nil
+	}
+	res := f.pool.Do(ctx, call)
+	if res.Kind == agateupstream.Answered {
+		f.suspects.recordAnswer(p.fingerprint)
+	}
+	failedAt := time.Now()
+	o := a.observation(&res)
+	f.mu.Lock()
+	limitChanged := f.table.Finish(time.Now(), a.d.Upstream, o)
+	linksChanged := f.updateLinksLost()
+	f.mu.Unlock()
+	if linksChanged {
+		f.control.requestHeartbeats()
+	}
+	if res.UpstreamDied && f.linksIntact(failedAt) {
+		f.reportCrash(a.d.Upstream)
+	}
+	if limitChanged {
+		p.logLimit(o.Limit)
+		f.control.requestHeartbeats() // other hosts learn of it
+	}
+	return res
+}
+
+// observation converts the result for the load-balancing table.
+func (a *attempt) observation(res *agateupstream.Result) agatebalance.Observation {
+	o := a.p.f.observation(res)
+	o.Basis = a.d.Basis
+	h := a.hedge
+	if h == nil || !usable(res) {
+		return o
+	}
+	first := !h.answered.Swap(true)
+	o.Hedged = first && h.sent.Load()
+	o.CopyAnswered = first && a.isCopy
+	if o.CopyAnswered {
+		o.Latency = time.Since(a.startedAt)
+	}
+	return o
+}
+
+// hedge counts a copy of a request.
+func (m metrics) hedge(service string) { m.set.Counter(agatemetrics.Hedges, service).Add(1) }
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -60,10 +60,10 @@
 
 // shouldLog reports whether a request's log line is written. Only lines on
 // requests that were answered at the first attempt and within the target of
-// their route are sampled.
+// their route, without a copy, are sampled.
 func (f *Front) shouldLog(p *proxyRequest, r *reply, now time.Time) bool {
 	missedTarget := !p.criteria.Target.IsZero() && now.After(p.criteria.Target)
-	if r.status >= http.StatusBadRequest || p.attempts > 1 || missedTarget {
+	if r.status >= http.StatusBadRequest || p.attempts > 1 || p.hedged || missedTarget {
 		return f.otherLimit.allow(now, otherLinesPerSecond)
 	}
 	return !f.cfg.Log.SkipsRequest(p.id) && f.routineLimit.allow(now, routineLinesPerSecond)
@@ -98,6 +98,14 @@
 // formatRate formats requests per second for the log.
 func formatRate(rate float64) string { return strconv.FormatFloat(rate, 'f', 2, 64) }
 
+// formatObject formats the hash of an object for the log, or "" if there is none.
+func formatObject(key uint64) string {
+	if key == 0 {
+		return ""
+	}
+	return strconv.FormatUint(key, 16)
+}
+
 // decision returns the last decision on a request as "agategate explain" prints
 // it, with the same inputs as in the log line.
 func (p *proxyRequest) decision(r *reply, took time.Duration) *agatelog.Decision {
@@ -154,10 +162,10 @@
 		left = p.deadline.Sub(now).Round(time.Millisecond)
 	}
 	return []any{
-		"req", p.id, "route", name, "version", p.planVersion(), "service", p.criteria.Service,
+		"req", p.id, "route", name, "version", p.planVersion(), "service", p.criteria.Service, "object", formatObject(p.criteria.AffinityKey),
 		"choice", p.lastDecision.Upstream, "first", p.lastDecision.Best, "reason", string(p.lastDecision.Reason), "considered", p.lastDecision.Considered,
 		"expected", p.lastDecision.ExpectedLatency.Round(time.Millisecond), "load", strconv.FormatFloat(p.lastDecision.Load, 'f', 1, 64),
 		"age", p.lastDecision.ReportAge.Round(time.Millisecond), "attempts", p.attempts, "unsent", p.unsent, "end", p.lastResult,
-		"left", left,
+		"left", left, "hedged", p.hedged, "copy", p.copyAnswered,
 	}
 }
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -73,6 +73,9 @@
 	// lastResult is the status code or kind of the last attempt's result, for
 	// the log.
 	lastResult string
+	// hedged is set if a copy was sent in the last attempt, and copyAnswered if it was
+	// answered first.
+	hedged, copyAnswered bool
 }
 
 // handle processes one request and sets its reply.
@@ -244,30 +247,7 @@
 // attempt sends the request to one upstream. The reply is final if it is to be
 // sent to the caller or if the caller has disconnected.
 func (p *proxyRequest) attempt(d agatebalance.Decision) (reply, bool) {
-	f := p.f
-	done := f.suspects.start(p.fingerprint, d.Upstream)
-	res := f.pool.Do(p.context(), p.call(d))
-	if res.Kind == agateupstream.Answered {
-		f.suspects.recordAnswer(p.fingerprint)
-	}
-	failedAt := time.Now()
-	o := f.observation(&res)
-	o.Basis = d.Basis
-	f.mu.Lock()
-	limitChanged := f.table.Finish(time.Now(), d.Upstream, o)
-	linksChanged := f.updateLinksLost()
-	f.mu.Unlock()
-	if linksChanged {
-		f.control.requestHeartbeats()
-	}
-	if res.UpstreamDied && f.linksIntact(failedAt) {
-		f.reportCrash(d.Upstream)
-	}
-	done()
-	if limitChanged {
-		p.logLimit(o.Limit)
-		f.control.requestHeartbeats() // other hosts learn of it
-	}
+	res := p.send(d)
 	p.criteria.Tried = append(p.criteria.Tried, d.Upstream)
 	p.lastResult = res.Kind.String()
 	return p.handleResult(&res)
@@ -288,17 +268,16 @@
 	h := p.x.req.Header.Clone()
 	h.Set(p.f.headers.ExpectUpstream, d.Upstream)
 	return agateupstream.Call{
-		Upstream:    d.Upstream,
-		Address:     d.Address,
-		Host:        p.x.req.Host,
-		Method:      p.x.req.Method,
-		Path:        p.path,
-		Header:      h,
-		Body:        p.x.body,
-		Action:      p.route.Kind == agateplan.Unsafe,
-		Deadline:    p.workDeadline,
-		Grace:       responseGrace,
-		BeforeWrite: func() bool { return p.c.ctx.Err() == nil },
+		Upstream: d.Upstream,
+		Address:  d.Address,
+		Host:     p.x.req.Host,
+		Method:   p.x.req.Method,
+		Path:     p.path,
+		Header:   h,
+		Body:     p.x.body,
+		Action:   p.route.Kind == agateplan.Unsafe,
+		Deadline: p.workDeadline,
+		Grace:    responseGrace,
 	}
 }
 
