agatebalance: several unreachable upstreams of a failure domain tell about the others

If three upstreams of a domain do not answer an attempt to connect, and none of the domain was heard since, its upstreams are avoided, and the domain is tried by one request after 0.5 to 2 s. A refused connection counts as an answer of the host. Objects move to their next upstream at once, also between regions.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -288,7 +288,7 @@
 			x.s.disruptedAt = x.now
 		}
 		x.estimate(c)
-		if x.home == "" && !c.u.down(x.now) {
+		if x.home == "" && !x.t.down(x.now, c.u) {
 			x.home = c.u.region
 		}
 		if !c.unhealthy {
@@ -312,7 +312,7 @@
 
 func (x *search) newCandidate(u *upstream) candidate {
 	c := candidate{u: u, load: u.load(x.now) / u.slots()}
-	c.unhealthy = u.down(x.now) || u.decayedFailureRate(x.now) > maxFailureRate
+	c.unhealthy = x.t.down(x.now, u) || u.decayedFailureRate(x.now) > maxFailureRate
 	// A slow upstream has, in effect, fewer slots.
 	c.slowness = u.slowness.value(x.now, &x.s.work)
 	c.waiting = max(0, c.load+1/u.slots()-1)
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -43,6 +43,9 @@
 	RTT time.Duration
 	// Connected reports that a new connection was opened for the attempt.
 	Connected bool
+	// Unreachable reports that there was no answer to the attempt to connect, if Outcome
+	// is NotSent.
+	Unreachable bool
 	// Responded reports that a response arrived, if Outcome is Failed.
 	Responded bool
 	// Running and Waiting are the numbers of requests running and queued at the
@@ -82,6 +85,7 @@
 		u.unansweredSince = now
 	}
 	u.inFlight++
+	t.domain(u).start(now)
 	if now.Before(u.coldUntil) {
 		u.coldBucket.tokens--
 	}
@@ -111,9 +115,13 @@
 	switch {
 	case o.Connected:
 		t.connected(now)
+		t.domain(u).heard()
 	case o.Outcome == NotSent:
 		u.unconnectedAt = now
 	}
+	if o.Unreachable && t.domain(u).recordUnreachable(now, id) {
+		t.disrupt(now)
+	}
 	if o.Outcome == WrongUpstream {
 		t.service(u.info.Service).disruptedAt = now
 	}
@@ -138,6 +146,13 @@
 	return limitChanged
 }
 
+// disrupt records a failure after which load may move between regions.
+func (t *Table) disrupt(now time.Time) {
+	for _, s := range t.services {
+		s.disruptedAt = now
+	}
+}
+
 // recordLatency updates the latency and the service times with a response.
 func (t *Table) recordLatency(now time.Time, u *upstream, o *Observation) {
 	u.latency.add(o.Latency.Seconds(), latencyWindow)
--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -53,6 +53,7 @@
 	u.unansweredSince = now
 	t.links.heardAt = now
 	t.links.silence = minSilence
+	t.domain(u).heard()
 }
 
 // connected records that an upstream accepted a connection. If the links were lost,
@@ -65,6 +66,9 @@
 		return
 	}
 	l.lost = false
+	for _, d := range t.domains {
+		d.heard()
+	}
 	for _, u := range t.upstreams {
 		if u.lastFailureAt.After(l.suspectAt) {
 			u.recordSuccess()
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -76,6 +76,7 @@
 	hosts     hosts
 	links     links
 	limits    agatelimit.Board // statements of upstreams to this host
+	domains   map[string]*domain
 }
 
 // New returns an empty Table.
@@ -84,6 +85,7 @@
 		cfg:       cfg.withDefaults(),
 		upstreams: map[string]*upstream{},
 		services:  map[string]*service{},
+		domains:   map[string]*domain{},
 	}
 }
 
@@ -96,9 +98,7 @@
 // UpdateUpstreams returns the sorted IDs of the removed upstreams.
 func (t *Table) UpdateUpstreams(now time.Time, upstreams []UpstreamInfo, full bool, evacuated []string) (removed []string) {
 	if !slices.Equal(t.evacuated, evacuated) {
-		for _, s := range t.services {
-			s.disruptedAt = now
-		}
+		t.disrupt(now)
 	}
 	t.evacuated = evacuated
 	toRemove := map[string]bool{}
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -400,8 +400,11 @@
 		if res.Status == http.StatusMisdirectedRequest {
 			o.Outcome = agatebalance.WrongUpstream
 		}
-	case agateupstream.Refused, agateupstream.NotWritten:
+	case agateupstream.Refused:
 		o.Outcome = agatebalance.NotSent
+	case agateupstream.NotWritten:
+		o.Outcome = agatebalance.NotSent
+		o.Unreachable = res.RTT == 0
 	case agateupstream.Busy, agateupstream.Canceled:
 		o.Outcome = agatebalance.Canceled
 	case agateupstream.TimedOut:
