agatebalance: a host remembers the load of upstreams that it seldom uses

Objects meet at some upstreams by chance; with 95 hosts, one host gets a report of such an upstream every 10 s, and a report lost its weight within 2 s.

Reported load now also decays with a time constant of 30 s. This memory only makes the host prefer the first of the two upstreams at the head of an object's order that is not overloaded by it; without one, and for rejections, the recent load decides as before.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -128,9 +128,11 @@
 	cost            float64 // load + costs of rank and fallback; the lowest is tried first
 	expectedSeconds float64 // expected latency
 	cachedSeconds   float64 // expected latency if the object were cached
-	basis           Basis
-	unhealthy       bool // failing, ejected or unresponsive
-	position        int  // number of healthy upstreams before it in the preference order
+	// rememberedSeconds is cachedSeconds with the load that loadMemory keeps.
+	rememberedSeconds float64
+	basis             Basis
+	unhealthy         bool // failing, ejected or unresponsive
+	position          int  // number of healthy upstreams before it in the preference order
 }
 
 // search compares the upstreams for one request.
@@ -232,6 +234,10 @@
 // first returns the candidate with the lowest cost that has room and that allowed
 // permits, healthy ones first, or nil.
 func (x *search) first(allowed func(c *candidate) bool) *candidate {
+	x.busyCount, x.coldCount, x.limitedCount, x.lateCount = 0, 0, 0, 0
+	if c := x.firstUnloaded(allowed); c != nil {
+		return c
+	}
 	x.busyCount, x.coldCount, x.limitedCount, x.lateCount = 0, 0, 0, 0
 	for _, unhealthy := range []bool{false, true} {
 		for i := range x.candidates {
@@ -251,6 +257,21 @@
 	return nil
 }
 
+// firstUnloaded is first among the healthy candidates at the head of the preference
+// order whose remembered load lets them respond within the target.
+func (x *search) firstUnloaded(allowed func(c *candidate) bool) *candidate {
+	if x.r.AffinityKey == 0 || x.r.Target.IsZero() {
+		return nil
+	}
+	for i := range x.candidates {
+		c := &x.candidates[i]
+		if !c.unhealthy && c.position < preferredCount && c.rememberedSeconds <= x.maxSeconds() && allowed(c) && x.hasRoom(c) {
+			return c
+		}
+	}
+	return nil
+}
+
 // leavesHome reports whether a candidate is outside the request's home region.
 func (x *search) leavesHome(c *candidate) bool { return c.u.region != x.home }
 
@@ -337,7 +358,11 @@
 	b.waitSeconds = c.waiting * x.s.work.meanSeconds()
 	c.basis = b
 	c.expectedSeconds = c.u.rttSeconds() + c.slowness*(b.serviceSeconds+b.waitSeconds)
-	c.cachedSeconds = c.u.rttSeconds() + c.slowness*(min(b.serviceSeconds, x.s.work.seconds(workKnown))+b.waitSeconds)
+	cached := min(b.serviceSeconds, x.s.work.seconds(workKnown))
+	c.cachedSeconds = c.u.rttSeconds() + c.slowness*(cached+b.waitSeconds)
+	slots := c.u.slots()
+	waiting := max(0, (c.u.decayedLoad(x.now, loadMemory)+1)/slots-1)
+	c.rememberedSeconds = c.u.rttSeconds() + c.slowness*(cached+waiting*x.s.work.meanSeconds())
 }
 
 // rank estimates the rank of an upstream in the preference order of the request's
--- a/core/agatebalance/policy_test.go
+++ b/core/agatebalance/policy_test.go
@@ -156,3 +156,29 @@
 		})
 	}
 }
+
+// hotObjects is a service at a third of its capacity, with one object for each
+// upstream on average. Several objects meet at some upstreams, which have more
+// requests than they can answer, while others are idle.
+func hotObjects(hosts int) workload {
+	return workload{
+		name: fmt.Sprint("hot-objects-", hosts), hosts: hosts, upstreams: [3]int{96, 18, 78}, slots: 4,
+		rate: 381, objects: 73, cacheSize: 8, serviceTime: 2976 * time.Millisecond, cachedFactor: 0.25,
+		target: 1500 * time.Millisecond, deadline: 3150 * time.Millisecond, duration: 30 * time.Second,
+	}
+}
+
+// Guards against hosts that keep sending requests to overloaded upstreams because each
+// of many hosts gets few reports of an upstream's load: the share of late requests of
+// 3 hosts may at most double with more.
+func TestPolicyServesAtEverySize(t *testing.T) {
+	few := simulate(hotObjects(3), seed, newTablePolicy)
+	t.Logf("3 hosts: share %.3f", few.inTimeShare())
+	for _, hosts := range []int{21} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			got := simulate(hotObjects(hosts), seed, newTablePolicy)
+			t.Logf("share %.3f late %d rejected %d failed %d copies %d", got.inTimeShare(), got.late, got.rejected, got.failed, got.copies)
+			assert.Assert(t, 1-got.inTimeShare() <= 2*(1-few.inTimeShare()))
+		})
+	}
+}
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -26,6 +26,10 @@
 	// loadReportDecay the time constant with which it decays afterwards.
 	loadReportFreshness = time.Second
 	loadReportDecay     = time.Second
+	// loadMemory is the time constant with which a reported load decays that only makes
+	// this host prefer another upstream. Load that comes from many requests for the same
+	// objects lasts, and one of many hosts gets few reports of each upstream.
+	loadMemory = 30 * time.Second
 	// expiredGrace is the time after its last response for which an expired
 	// upstream is used like the others.
 	expiredGrace = 3 * time.Second
@@ -90,12 +94,15 @@
 func (u *upstream) slots() float64 { return float64(max(1, u.info.Slots)) }
 
 // load estimates the number of requests running or queued at the upstream.
-func (u *upstream) load(now time.Time) float64 {
+func (u *upstream) load(now time.Time) float64 { return u.decayedLoad(now, loadReportDecay) }
+
+// decayedLoad is the load if reports decay with a time constant.
+func (u *upstream) decayedLoad(now time.Time, decay time.Duration) float64 {
 	stale := now.Sub(u.loadReportedAt) - loadReportFreshness
 	if stale <= 0 {
 		return float64(u.inFlight) + u.otherLoad.mean
 	}
-	return float64(u.inFlight) + u.otherLoad.mean*math.Exp(-stale.Seconds()/loadReportDecay.Seconds())
+	return float64(u.inFlight) + u.otherLoad.mean*math.Exp(-stale.Seconds()/decay.Seconds())
 }
 
 // recordLoad records the load that the upstream reported with a response.
