agateupstream: bytes without end are given up early, and copies without an id

An upstream in trouble may send bytes without end, in a head or a body. A head was bounded at 64 KiB and each body at 8 MiB, but nothing bounded all bodies together: 25 of them at once are 200 MB on a host of 184 MB, and one holds a link of 2 Mbit/s until the deadline, which all other requests of the host share.

- All bodies that are being read have a total of 32 MiB; the largest yields.
- A body without a declared length ends at 16 times the largest complete one of its service, at least 256 KiB, once 16 are known.
One at a time may exceed that, so a service whose responses become larger is not refused them for good.
- A success without the id of its request is not passed on if the connection has carried responses with one: it may be a late second copy.
Other statuses are taken as before, since upstreams refuse requests without echoing the id.

TestEndlessBytes plays a status line, heads, interim responses, garbage, chunk extensions, trailers, chunks, a body without length, and bytes behind a complete response. Both kinds of entry host use this client.

--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -130,6 +130,7 @@
 	defer done()
 	r := e.pool.Do(ctx, agateupstream.Call{
 		Upstream:        string(d.Upstream),
+		Service:         cl.service,
 		Address:         d.Address,
 		Method:          cl.method,
 		Path:            cl.path,
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -269,6 +269,7 @@
 	h.Set(p.f.headers.ExpectUpstream, d.Upstream)
 	return agateupstream.Call{
 		Upstream: d.Upstream,
+		Service:  p.criteria.Service,
 		Address:  d.Address,
 		Host:     p.x.req.Host,
 		Method:   p.x.req.Method,
--- a/io/agateupstream/call.go
+++ b/io/agateupstream/call.go
@@ -18,8 +18,11 @@
 type Call struct {
 	// Upstream is the upstream's id, by which connections are pooled.
 	Upstream string
-	Address  netip.AddrPort
-	Method   string
+	// Service is the name under which the sizes of response bodies are learned. The
+	// default is Upstream.
+	Service string
+	Address netip.AddrPort
+	Method  string
 	// Path starts with "/" and includes the query.
 	Path   string
 	Header http.Header
--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -34,6 +34,8 @@
 	keepAlive time.Duration
 	// bytesLeft is the number of bytes that may still be read.
 	bytesLeft int64
+	// echoesID is set once a response had the id of its request.
+	echoesID bool
 	// peerClosed is set once the peer, not this process, ended the connection.
 	peerClosed bool
 	// closed is set once this process has closed the connection.
--- a/io/agateupstream/exchange.go
+++ b/io/agateupstream/exchange.go
@@ -1,10 +1,10 @@
 package agateupstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"time"
@@ -31,6 +31,7 @@
 	conn   *conn
 	header http.Header
 	cfg    *Config
+	bodies *bodies
 	// writeStart is when the write of the request started.
 	writeStart time.Time
 	// mayHaveRun is set once a byte of the request was written.
@@ -135,13 +136,21 @@
 	return nil, errors.New("agateupstream: too many interim responses")
 }
 
-// checkRequestID returns an error if the response has the id of another request.
+// checkRequestID returns an error if the response has the id of another request, or is
+// a success without an id on a connection whose responses have had one: it may be a
+// second copy of an earlier response.
 func (x *exchange) checkRequestID(resp *http.Response) error {
 	sent := x.header.Get(x.cfg.RequestHeader)
 	got := resp.Header.Get(x.cfg.RequestHeader)
-	if sent != "" && got != "" && sent != got {
+	switch {
+	case sent == "":
+		return nil
+	case got == "" && x.conn.echoesID && resp.StatusCode < 300:
+		return fmt.Errorf("agateupstream: response to %q without the id of its request", sent)
+	case got != "" && sent != got:
 		return fmt.Errorf("agateupstream: response to request %q instead of %q", got, sent)
 	}
+	x.conn.echoesID = x.conn.echoesID || got != ""
 	return nil
 }
 
@@ -157,10 +166,11 @@
 	if resp.Body != http.NoBody && resp.ContentLength > limit {
 		return x.tooLarge()
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if int64(len(body)) > limit {
-		return x.tooLarge()
-	}
+	body, err := x.bodies.read(resp.Body, limit, &bodyReader{
+		service:   cmp.Or(x.call.Service, x.call.Upstream),
+		unbounded: resp.Body != http.NoBody && resp.ContentLength < 0,
+		abort:     x.conn.close,
+	})
 	if err != nil {
 		return x.fail(err)
 	}
@@ -223,7 +233,7 @@
 		r.Kind = Canceled
 	case x.ctx.Err() != nil:
 		r.Kind = TimedOut
-	case errors.Is(err, errHeaderSize):
+	case errors.Is(err, errHeaderSize), errors.Is(err, errBodySize), errors.Is(err, errTotalBodySize), errors.Is(err, errEndlessBody):
 		r.Kind = TooLarge
 	case isTimeout(err):
 		r.Kind = TimedOut
--- a/io/agateupstream/pool.go
+++ b/io/agateupstream/pool.go
@@ -40,6 +40,7 @@
 // without one.
 const (
 	DefaultMaxBodyBytes      = 8 << 20
+	DefaultMaxTotalBodyBytes = 32 << 20
 	DefaultMaxHeaderBytes    = 64 << 10
 	DefaultMaxConns          = 32
 	DefaultIdleTimeout       = 30 * time.Second
@@ -53,6 +54,9 @@
 type Config struct {
 	// MaxBodyBytes is the maximum size of a response body; default 8 MiB.
 	MaxBodyBytes int64
+	// MaxTotalBodyBytes is the maximum size of all response bodies that are being read.
+	// The largest one is given up if they exceed it. The default is 32 MiB.
+	MaxTotalBodyBytes int64
 	// MaxHeaderBytes is the maximum size of a response header, including those
 	// of interim responses; default 64 KiB.
 	MaxHeaderBytes int64
@@ -100,6 +104,9 @@
 	if cfg.MaxBodyBytes <= 0 {
 		cfg.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	if cfg.MaxTotalBodyBytes <= 0 {
+		cfg.MaxTotalBodyBytes = DefaultMaxTotalBodyBytes
+	}
 	if cfg.MaxHeaderBytes <= 0 {
 		cfg.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
@@ -122,6 +129,7 @@
 	cfg    Config
 	dialer *net.Dialer
 	stop   chan struct{}
+	bodies *bodies
 
 	mu        sync.Mutex
 	closed    bool
@@ -135,6 +143,7 @@
 		cfg:       cfg,
 		dialer:    agatesocket.NewDialer(agatesocket.Config{ConnectTimeout: cfg.ConnectTimeout, TCPUserTimeout: cfg.TCPUserTimeout}),
 		stop:      make(chan struct{}),
+		bodies:    newBodies(cfg.MaxTotalBodyBytes),
 		upstreams: map[string]*upstreamConns{},
 	}
 	go p.sweep()
@@ -255,7 +264,7 @@
 		return r
 	}
 	stop := context.AfterFunc(ctx, c.close)
-	x := exchange{ctx: ctx, call: call, conn: c, header: outgoingHeader(call, p.cfg.DeadlineHeader), cfg: &p.cfg}
+	x := exchange{ctx: ctx, call: call, conn: c, header: outgoingHeader(call, p.cfg.DeadlineHeader), cfg: &p.cfg, bodies: p.bodies}
 	r = x.roundTrip()
 	r.RTT = c.rtt
 	r.Connected = !c.reused
--- a/io/agateupstream/pool_test.go
+++ b/io/agateupstream/pool_test.go
@@ -361,6 +361,8 @@
 	for _, path := range []string{"", "x", "/ HTTP/1.1\r\nX: y", "/\n"} {
 		assert.Equal(t, p.Do(t.Context(), get(s.addr, path)).Kind, NotWritten)
 	}
+	// kill closes only connections that the upstream has registered.
+	await(t, "connection at the upstream", func() bool { return s.numOpen() == 1 })
 	s.ln.Close()
 	s.kill()
 	await(t, "end of the connection", func() bool { return !p.upstream("u").idle[0].usable() })
--- a/io/agateupstream/testupstream_test.go
+++ b/io/agateupstream/testupstream_test.go
@@ -73,6 +73,12 @@
 	}
 }
 
+func (s *testUpstream) numOpen() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
 // kill closes all connections, as the end of the process would.
 func (s *testUpstream) kill() {
 	s.mu.Lock()
