agatebalance: entry hosts tell each other about upstreams with a queue

A host that is told of a queue (more requests than slots), or of its end, passes that on to the replicas that it follows, at most twice a second for an upstream; a replica passes on one statement a second for each upstream, at most 64 in a message, to the hosts that take them from it. A host takes them from its nearest replica only, and uses them like a report of its own. An upstream is named by a hash of 4 bytes: about 11 bytes a statement. Without queues nothing is sent.

agateboard is the board of agatelimit for any value.

--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -107,7 +107,8 @@
 		u.rtt.add(o.RTT.Seconds(), latencyWindow)
 	}
 	if o.Reported {
-		u.recordLoad(now, o.Running, o.Waiting)
+		u.recordLoad(now, o.Running+o.Waiting)
+		t.shareLoad(now, u, o.Running+o.Waiting)
 	}
 	if o.heard() {
 		t.heard(now, u)
--- a/core/agatebalance/limit.go
+++ b/core/agatebalance/limit.go
@@ -79,7 +79,7 @@
 	if changed || repeat && at.Sub(u.limit.sharedAt) >= limitRepeatInterval {
 		u.limit.sharedAt = at
 		t.limits.Merge(now, []agatelimit.Report{{
-			Upstream: u.info.ID, StartedAtMs: u.info.StartedAtMs, Limit: o.Limit, Age: now.Sub(at),
+			Upstream: u.info.ID, StartedAtMs: u.info.StartedAtMs, Value: o.Limit, Age: now.Sub(at),
 		}})
 	}
 	return changed
@@ -100,7 +100,7 @@
 			continue
 		}
 		at := now.Add(-r.Age)
-		if t.setLimit(now, at, u, r.Limit) {
+		if t.setLimit(now, at, u, r.Value) {
 			changes = append(changes, r)
 		}
 		if at.After(u.limit.sharedAt) {
--- a/core/agatebalance/sim_test.go
+++ b/core/agatebalance/sim_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"agategate/core/agatebalance"
+	"agategate/core/agateboard"
 	"agategate/core/agateplan"
 )
 
@@ -37,6 +38,8 @@
 	// noHedges sends no copies of slow requests. sharedLoads makes a copy wait until
 	// the original has loaded the object.
 	noHedges, sharedLoads bool
+	// noExchange keeps hosts from telling each other about loads.
+	noExchange bool
 }
 
 // result is the outcome of a simulation.
@@ -67,6 +70,8 @@
 	t     *agatebalance.Table
 	route *agateplan.Route
 	n     int
+	// sent and received are the cursors of the loads exchanged with the control group.
+	sent, received uint64
 }
 
 func (p *tablePolicy) choose(now time.Time, key uint64, target, deadline time.Time, tried []string) agatebalance.Decision {
@@ -246,6 +251,9 @@
 		s.hosts = append(s.hosts, newPolicy(s, h))
 	}
 	s.scheduleArrivals()
+	if !w.noExchange {
+		s.scheduleExchanges()
+	}
 	if w.slowCount > 0 {
 		s.schedule(s.start.Add(w.duration/2), func(time.Time) { s.slowUpstreams() })
 	}
@@ -306,6 +314,32 @@
 	heap.Push(&s.events, event{at, s.lastSeq, run})
 }
 
+// exchangeInterval is the interval of the messages between a host and the control group.
+const exchangeInterval = 500 * time.Millisecond
+
+// scheduleExchanges lets each host tell the others through a board about loads.
+func (s *sim) scheduleExchanges() {
+	board := &agateboard.Board[int]{MinInterval: 2 * exchangeInterval}
+	for i, h := range s.hosts {
+		p, ok := h.(*tablePolicy)
+		if !ok {
+			continue
+		}
+		offset := exchangeInterval * time.Duration(i) / time.Duration(len(s.hosts))
+		for at := s.start.Add(offset); at.Before(s.start.Add(s.workload.duration)); at = at.Add(exchangeInterval) {
+			s.schedule(at, func(now time.Time) { p.exchange(now, board) })
+		}
+	}
+}
+
+func (p *tablePolicy) exchange(now time.Time, board *agateboard.Board[int]) {
+	var reports []agatebalance.LoadReport
+	reports, p.sent = p.t.LoadReports(now, p.sent)
+	board.Merge(now, reports)
+	reports, p.received = board.Since(now, p.received)
+	p.t.ApplyLoads(now, reports)
+}
+
 // scheduleArrivals generates all requests in advance, so that every policy gets the
 // same ones.
 func (s *sim) scheduleArrivals() {
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"agategate/core/agateboard"
 	"agategate/core/agatelimit"
 	"agategate/core/agateplan"
 )
@@ -75,7 +76,9 @@
 	evacuated []string
 	hosts     hosts
 	links     links
-	limits    agatelimit.Board // statements of upstreams to this host
+	limits    agatelimit.Board      // statements of upstreams to this host
+	loads     agateboard.Board[int] // loads that upstreams reported to this host
+	byLoadKey map[string]*upstream
 	domains   map[string]*domain
 }
 
@@ -85,6 +88,7 @@
 		cfg:       cfg.withDefaults(),
 		upstreams: map[string]*upstream{},
 		services:  map[string]*service{},
+		byLoadKey: map[string]*upstream{},
 		domains:   map[string]*domain{},
 	}
 }
@@ -140,7 +144,9 @@
 	}
 	if u == nil {
 		u = newUpstream(info.ID)
+		u.loadKey = loadKey(info)
 		t.upstreams[info.ID] = u
+		t.byLoadKey[u.loadKey] = u
 		s := t.service(info.Service)
 		s.upstreams = append(s.upstreams, u)
 		slices.SortFunc(s.upstreams, func(a, b *upstream) int {
@@ -166,6 +172,9 @@
 func (t *Table) remove(id string) {
 	u := t.upstreams[id]
 	delete(t.upstreams, id)
+	if t.byLoadKey[u.loadKey] == u {
+		delete(t.byLoadKey, u.loadKey)
+	}
 	s := t.service(u.info.Service)
 	s.upstreams = slices.DeleteFunc(s.upstreams, func(x *upstream) bool { return x == u })
 }
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -66,6 +66,11 @@
 	// upstream, as reported.
 	otherLoad      ewma
 	loadReportedAt time.Time
+	loadKey        string // see loadKey
+	// queueKnown is whether the last load that hosts told each other exceeds the slots,
+	// and loadSharedAt when this host last told one.
+	queueKnown   bool
+	loadSharedAt time.Time
 
 	slowness       slowness
 	known          knownObjects
@@ -105,10 +110,11 @@
 	return float64(u.inFlight) + u.otherLoad.mean*math.Exp(-stale.Seconds()/decay.Seconds())
 }
 
-// recordLoad records the load that the upstream reported with a response.
-func (u *upstream) recordLoad(now time.Time, running, waiting int) {
-	u.otherLoad.add(max(0, float64(running+waiting-u.inFlight)), loadWindow)
-	u.loadReportedAt = now
+// recordLoad records the number of requests running and queued that the upstream
+// reported at a time.
+func (u *upstream) recordLoad(at time.Time, load int) {
+	u.otherLoad.add(max(0, float64(load-u.inFlight)), loadWindow)
+	u.loadReportedAt = at
 }
 
 // unresponsive reports whether the upstream has recently sent neither a heartbeat
--- a/io/agateclient/limit.go
+++ b/io/agateclient/limit.go
@@ -19,7 +19,7 @@
 		out = append(out, agatelimit.Report{
 			Upstream:    r.Id,
 			StartedAtMs: r.Born,
-			Limit:       agatelimit.Limit{Named: r.Named, Rate: r.Rate},
+			Value:       agatelimit.Limit{Named: r.Named, Rate: r.Rate},
 			Age:         time.Duration(max(0, r.Age)) * time.Millisecond,
 		})
 	}
@@ -34,8 +34,8 @@
 		out = append(out, &agatewire.LimitRow{
 			Id:    r.Upstream,
 			Born:  r.StartedAtMs,
-			Named: r.Limit.Named,
-			Rate:  r.Limit.Rate,
+			Named: r.Value.Named,
+			Rate:  r.Value.Rate,
 			Age:   r.Age.Milliseconds(),
 		})
 	}
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -111,6 +111,7 @@
 	sessions       *sessions
 	presence       presence
 	upstreamLimits upstreamLimits
+	upstreamLoads  upstreamLoads
 	plans          planCache
 	updates        broadcast
 	healer         *agateheal.Healer
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -79,11 +79,14 @@
 	// fleet and suspects are the log indexes up to which the host is current.
 	fleet    uint64
 	suspects uint64
-	// limits is the cursor of the limits of upstreams that were sent to the host.
-	limits uint64
+	// limits and loads are the cursors of the limits and loads of upstreams that were
+	// sent to the host.
+	limits, loads uint64
 	// follow is whether the host takes fleet and suspect changes from this
 	// replica.
 	follow bool
+	// queues is whether the host takes loads of upstreams from this replica.
+	queues bool
 	// sentSynced is whether the last message said that this replica knows a
 	// leader.
 	sentSynced bool
@@ -176,7 +179,8 @@
 	if w.c.upstreamLimits.merge(now, agateclient.FromWireLimits(req.Limits)) {
 		w.c.updates.notify()
 	}
-	w.follow = req.Follow
+	w.c.upstreamLoads.merge(now, agateclient.FromWireLoads(req.Loads))
+	w.follow, w.queues = req.Follow, req.Queues
 	w.fleet = max(w.fleet, req.Fleet)
 	if req.Fleet == 0 { // the host holds no fleet state and needs all of it
 		w.fleet = 0
@@ -213,6 +217,11 @@
 	limits, cursor := c.upstreamLimits.since(time.Now(), w.limits)
 	reply.Limits = agateclient.ToWireLimits(limits)
 	w.limits = cursor
+	if w.queues {
+		loads, cursor := c.upstreamLoads.since(time.Now(), w.loads)
+		reply.Loads = agateclient.ToWireLoads(loads)
+		w.loads = cursor
+	}
 	return reply
 }
 
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -72,7 +72,9 @@
 	synced       bool          // whether the replica knows a leader or is the leader
 	rtt          time.Duration // from the first heartbeat to its reply
 	follow       bool          // whether the replica sends changes to this host
+	nearest      bool          // whether it is the one of the followed that sends loads
 	limits       uint64        // cursor of the limits that were sent on the stream
+	loads        uint64        // cursor of the loads that were sent on the stream
 	heartbeatDue chan struct{} // triggers an immediate heartbeat
 }
 
@@ -182,6 +184,7 @@
 	}
 	chosen := current[:min(maxFollowed, len(current))]
 	for _, w := range l.watches {
+		w.nearest = w == chosen[0]
 		follow := slices.Contains(chosen, w)
 		if follow != w.follow {
 			w.follow = follow
@@ -255,7 +258,7 @@
 	}
 	start := time.Now()
 	l.mu.Lock()
-	w.limits = 0
+	w.limits, w.loads = 0, 0
 	l.mu.Unlock()
 	first := l.newHeartbeat(w)
 	if admin := l.f.cfg.Admin; admin.IsValid() {
@@ -317,6 +320,13 @@
 	reports, cursor := l.f.table.LimitReports(time.Now(), w.limits)
 	w.limits = cursor
 	ask.Limits = agateclient.ToWireLimits(reports)
+	if !w.follow {
+		return ask
+	}
+	loads, cursor := l.f.table.LoadReports(time.Now(), w.loads)
+	w.loads = cursor
+	ask.Loads = agateclient.ToWireLoads(loads)
+	ask.Queues = w.nearest
 	return ask
 }
 
@@ -357,6 +367,7 @@
 		l.setFleet(now, reply)
 	}
 	l.f.applyLimits(now, w.addr, reply.Limits)
+	l.f.applyLoads(now, reply.Loads)
 	if !l.hasFleet && !w.follow && now.Sub(l.fleetRequested) > fleetTimeout {
 		l.fleetRequested = now
 		w.follow = true
@@ -368,6 +379,16 @@
 	}
 }
 
+// applyLoads applies what upstreams told other hosts about their load.
+func (f *Front) applyLoads(now time.Time, rows []*agatewire.LoadRow) {
+	if len(rows) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.ApplyLoads(now, agateclient.FromWireLoads(rows))
+}
+
 // applyLimits applies what upstreams told other hosts about their limits.
 func (f *Front) applyLimits(now time.Time, from netip.AddrPort, rows []*agatewire.LimitRow) {
 	if len(rows) == 0 {
@@ -377,8 +398,8 @@
 	changes := f.table.ApplyLimits(now, agateclient.FromWireLimits(rows))
 	f.mu.Unlock()
 	for _, r := range changes {
-		f.log.Info("upstream limit", "kind", "limit", "from", from, "choice", r.Upstream, "named", r.Limit.Named,
-			"limit", formatRate(r.Limit.Rate), "age", r.Age.Round(time.Millisecond))
+		f.log.Info("upstream limit", "kind", "limit", "from", from, "choice", r.Upstream, "named", r.Value.Named,
+			"limit", formatRate(r.Value.Rate), "age", r.Age.Round(time.Millisecond))
 	}
 }
 
