agatebalance: loads told by others yield to own reports and to overload

The reports of others are about queues only and reach all hosts at once, so in floods hosts moved load together.

A host uses them only if it has had no report of its own for 2 s, which in large deployments is the rule and in small ones the exception, and not while it rejects requests of the service.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -493,7 +493,7 @@
 	switch {
 	case x.busyCount > 0:
 		d.Reason = ReasonBusy
-		x.s.hedging.scarceAt = x.now
+		x.s.scarceAt = x.now
 		// The time until the shortest full queue accepts requests again.
 		d.RetryAfter = minRetryAfter
 		if !math.IsInf(x.minBusySeconds, 1) {
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -108,6 +108,7 @@
 	}
 	if o.Reported {
 		u.recordLoad(now, o.Running+o.Waiting)
+		u.ownLoadAt = now
 		t.shareLoad(now, u, o.Running+o.Waiting)
 	}
 	if o.heard() {
@@ -179,7 +180,7 @@
 func (t *Table) AllowRetry(now time.Time, name string) bool {
 	s := t.service(name)
 	if !t.takeRetry(now, s) {
-		s.hedging.scarceAt = now
+		s.scarceAt = now
 		return false
 	}
 	return true
--- a/core/agatebalance/hedge.go
+++ b/core/agatebalance/hedge.go
@@ -34,9 +34,6 @@
 	minUsefulCopies   = 0.3
 	minJudgedCopies   = 4
 	copyTrialInterval = 32
-	// hedgePause is how long no request is hedged after a request was rejected for lack
-	// of room, or a retry for lack of budget: these need it more.
-	hedgePause = 2 * time.Second
 )
 
 // hedging is what a host knows about hedges of a service's requests. A request for an
@@ -46,10 +43,9 @@
 // wait behind it on the caller's connection are, too. Upstreams that make the copy
 // wait for the original are noticed, as their copies are of no use.
 type hedging struct {
-	misses   ewma      // share of misses among the objects that this host did not know at the upstream
-	useful   ewma      // share of copies of misses that were answered before the original
-	skipped  int       // copies not sent since the last trial
-	scarceAt time.Time // when a request or a retry was last rejected
+	misses  ewma // share of misses among the objects that this host did not know at the upstream
+	useful  ewma // share of copies of misses that were answered before the original
+	skipped int  // copies not sent since the last trial
 }
 
 // HedgeDelay returns how long the response to a request may take before a copy of it
@@ -86,14 +82,15 @@
 }
 
 // AllowHedge reports whether a copy of a request may be sent to an upstream, and
-// consumes it from the retry budget of the service.
+// consumes it from the retry budget of the service. There are no copies while requests
+// or retries are rejected, as these need the room and the budget more.
 func (t *Table) AllowHedge(now time.Time, id string) bool {
 	u := t.upstreams[id]
 	if u == nil || !t.mayHedge(now, u) || u.load(now) >= u.slots() {
 		return false
 	}
 	s := t.service(u.info.Service)
-	return now.Sub(s.hedging.scarceAt) >= hedgePause && s.hedging.worthwhile() && t.takeRetry(now, s)
+	return !s.scarce(now) && s.hedging.worthwhile() && t.takeRetry(now, s)
 }
 
 // worthwhile reports whether copies are useful, or one is due to find out.
--- a/core/agatebalance/loads.go
+++ b/core/agatebalance/loads.go
@@ -13,6 +13,11 @@
 // one upstream.
 const loadShareInterval = 500 * time.Millisecond
 
+// ownLoadPeriod is the age up to which a host prefers the report that it got itself.
+// Reports of others are about queues only, and reach all hosts at once: in floods, hosts
+// that follow them move load together from region to region.
+const ownLoadPeriod = 2 * time.Second
+
 // LoadReport is the number of requests running and queued at an upstream, as it told a
 // host. Upstream is its loadKey, and StartedAtMs is not used.
 type LoadReport = agateboard.Report[int]
@@ -50,12 +55,12 @@
 }
 
 // ApplyLoads applies loads that upstreams reported to other hosts, unless this host got
-// a later report itself.
+// a report itself within ownLoadPeriod.
 func (t *Table) ApplyLoads(now time.Time, reports []LoadReport) {
 	for _, r := range reports {
 		u := t.byLoadKey[r.Upstream]
 		at := now.Add(-r.Age)
-		if u == nil || !at.After(u.loadReportedAt) {
+		if u == nil || !at.After(u.loadReportedAt) || now.Sub(u.ownLoadAt) < ownLoadPeriod || t.service(u.info.Service).scarce(now) {
 			continue
 		}
 		u.recordLoad(at, r.Value)
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -66,7 +66,8 @@
 	// upstream, as reported.
 	otherLoad      ewma
 	loadReportedAt time.Time
-	loadKey        string // see loadKey
+	ownLoadAt      time.Time // when the upstream last reported its load to this host
+	loadKey        string    // see loadKey
 	// queueKnown is whether the last load that hosts told each other exceeds the slots,
 	// and loadSharedAt when this host last told one.
 	queueKnown   bool
@@ -187,6 +188,7 @@
 	work            workTimes
 	retryBudget     bucket
 	hedging         hedging
+	scarceAt        time.Time // when a request or a retry was last rejected
 	overflow        overflow
 	homes           homeShares
 	// disruptedAt is when an upstream was last removed, began to drain, expired,
@@ -194,3 +196,10 @@
 	// or an evacuation began or ended.
 	disruptedAt time.Time
 }
+
+// scarcePeriod is how long a service counts as overloaded after a request was rejected
+// for lack of room, or a retry for lack of budget.
+const scarcePeriod = 2 * time.Second
+
+// scarce reports whether the service has been overloaded lately.
+func (s *service) scarce(now time.Time) bool { return now.Sub(s.scarceAt) < scarcePeriod }
