agatebalance: regions with many upstreams keep more of their objects

The reserve is for objects whose local upstreams are overloaded by chance, and the load that falls to each of n upstreams varies less in proportion with a larger n. The reserve is now 0.6/sqrt(n) for n local upstreams, 0.15 at most: as before up to 16, 0.06 with 100. TestLocalShareGrowsWithUpstreams fails before.

--- a/core/agatebalance/regions.go
+++ b/core/agatebalance/regions.go
@@ -5,11 +5,21 @@
 	"slices"
 )
 
-// maxLocalShare is the upper bound on the share of a region's objects that have a
-// local upstream first in their preference order. It stays below 1 because a few
-// requests go to other regions in any case: objects whose local upstreams are
-// overloaded find less loaded ones there.
-const maxLocalShare = 0.85
+// maxLocalReserve and localReserve determine the upper bound on the share of a region's
+// objects that have a local upstream first in their preference order: 1 less
+// localReserve/sqrt(n) with n local upstreams, but not less than 1 - maxLocalReserve. It
+// stays below 1 because objects whose local upstreams are overloaded find less loaded
+// ones elsewhere. With more upstreams, the load that falls to each of them by chance
+// varies less in proportion to all of it.
+const (
+	maxLocalReserve = 0.15
+	localReserve    = 0.6
+)
+
+// maxLocalShare is the bound for n local upstreams.
+func maxLocalShare(n int) float64 {
+	return 1 - min(maxLocalReserve, localReserve/math.Sqrt(float64(max(1, n))))
+}
 
 // localBonus is the number of ranks by which upstreams of this region move ahead
 // in an object's preference order. The region thus keeps as many of its objects
@@ -25,13 +35,14 @@
 	if s.localBonusValid {
 		return s.localBonus
 	}
-	local, total := 0.0, 0.0
+	local, total, numLocal := 0.0, 0.0, 0
 	for _, u := range s.upstreams {
 		if u.info.Draining || slices.Contains(t.evacuated, u.info.Domain) {
 			continue
 		}
 		total += u.slots()
 		if u.local {
+			numLocal++
 			local += u.slots()
 		}
 	}
@@ -41,7 +52,7 @@
 		return 0
 	}
 	f := local / total
-	share := min(maxLocalShare, f*float64(max(1, t.regionCount())))
+	share := min(maxLocalShare(numLocal), f*float64(max(1, t.regionCount())))
 	if share > f {
 		s.localBonus = -math.Log((1-share)/(1-f)) / f
 	}
