--- a/core/agatebalance/domains.go
+++ b/core/agatebalance/domains.go
@@ -23,6 +23,34 @@
 	suspicion    time.Duration // current value between minSuspicion and maxSuspicion
 }
 
+// DomainChange tells that a failure domain is suspected from now on, or no longer.
+type DomainChange struct {
+	Domain    string
+	Suspected bool
+}
+
+// TakeDomainChanges returns the changes since the last call.
+func (t *Table) TakeDomainChanges() []DomainChange {
+	changes := t.domainChanges
+	t.domainChanges = nil
+	return changes
+}
+
+// domainHeard records that an upstream responded or accepted a connection.
+func (t *Table) domainHeard(u *upstream) {
+	if t.domain(u).heard() {
+		t.domainChanges = append(t.domainChanges, DomainChange{Domain: u.info.Domain})
+	}
+}
+
+// domainUnreachable records that an upstream did not answer an attempt to connect.
+func (t *Table) domainUnreachable(now time.Time, u *upstream) {
+	if t.domain(u).recordUnreachable(now, u.info.ID) {
+		t.domainChanges = append(t.domainChanges, DomainChange{Domain: u.info.Domain, Suspected: true})
+		t.disrupt(now)
+	}
+}
+
 func (t *Table) domain(u *upstream) *domain {
 	d := t.domains[u.info.Domain]
 	if d == nil {
@@ -39,12 +67,15 @@
 // avoided reports whether the upstreams of the domain are to be avoided now.
 func (d *domain) avoided(now time.Time) bool { return d.suspected() && now.Before(d.suspectUntil) }
 
-// heard records that an upstream of the domain responded or accepted a connection.
-func (d *domain) heard() {
+// heard records that an upstream of the domain responded or accepted a connection. It
+// reports whether the domain was suspected.
+func (d *domain) heard() (wasSuspected bool) {
+	wasSuspected = d.suspected()
 	if len(d.unreachable) > 0 {
 		clear(d.unreachable)
 	}
 	d.suspicion = 0
+	return wasSuspected
 }
 
 // recordUnreachable records that an upstream did not answer an attempt to connect. It
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -117,12 +117,12 @@
 	switch {
 	case o.Connected:
 		t.connected(now)
-		t.domain(u).heard()
+		t.domainHeard(u)
 	case o.Outcome == NotSent:
 		u.unconnectedAt = now
 	}
-	if o.Unreachable && t.domain(u).recordUnreachable(now, id) {
-		t.disrupt(now)
+	if o.Unreachable {
+		t.domainUnreachable(now, u)
 	}
 	if o.Outcome == WrongUpstream {
 		t.service(u.info.Service).disruptedAt = now
--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -53,7 +53,7 @@
 	u.unansweredSince = now
 	t.links.heardAt = now
 	t.links.silence = minSilence
-	t.domain(u).heard()
+	t.domainHeard(u)
 }
 
 // connected records that an upstream accepted a connection. If the links were lost,
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -80,6 +80,8 @@
 	loads     agateboard.Board[int] // loads that upstreams reported to this host
 	byLoadKey map[string]*upstream
 	domains   map[string]*domain
+	// domainChanges are those that TakeDomainChanges has not returned yet.
+	domainChanges []DomainChange
 }
 
 // New returns an empty Table.
--- a/io/agatefront/hedge.go
+++ b/io/agatefront/hedge.go
@@ -132,7 +132,9 @@
 	f.mu.Lock()
 	limitChanged := f.table.Finish(time.Now(), a.d.Upstream, o)
 	linksChanged := f.updateLinksLost()
+	domainChanges := f.table.TakeDomainChanges()
 	f.mu.Unlock()
+	p.logDomains(domainChanges)
 	if linksChanged {
 		f.control.requestHeartbeats()
 	}
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"agategate/core/agatebalance"
 	"agategate/core/agatelimit"
 	"agategate/core/agateplan"
 	"agategate/io/agatelog"
@@ -84,6 +85,14 @@
 	p.f.log.Info("attempt", append(p.fields(now), "kind", "attempt", "took", took.Round(time.Millisecond))...)
 }
 
+// logDomains writes log lines on failure domains that are suspected from now on, or no
+// longer, after the result of the request.
+func (p *proxyRequest) logDomains(changes []agatebalance.DomainChange) {
+	for _, c := range changes {
+		p.f.log.Info("failure domain", "kind", "domain", "req", p.id, "choice", c.Domain, "suspected", c.Suspected)
+	}
+}
+
 // logLimit writes a log line on a change of an upstream's limit, which the response
 // to the request names or, if it names none, ends.
 func (p *proxyRequest) logLimit(limit agatelimit.Limit) {
