--- a/core/agatebalance/doc.go
+++ b/core/agatebalance/doc.go
@@ -14,6 +14,12 @@
 // multiple of the target time. An upstream is cold for a while after its start,
 // when it gets requests at a limited rate.
 //
+// One of many hosts gets few responses of each upstream. It therefore learns of queues
+// from the other hosts (LoadReports, ApplyLoads), and concludes from a few unreachable
+// upstreams of a failure domain that the others are unreachable too. A request whose
+// response takes long may be sent once more to the same upstream (HedgeDelay,
+// AllowHedge), which has the object cached by then.
+//
 // The home region of an object is the region of the first upstream in its
 // preference order. While nothing fails, the share of requests that run elsewhere
 // changes slowly, so that load does not oscillate between regions.
@@ -35,5 +41,6 @@
 //	... // send to d.Address; the observation gets d.Basis
 //	t.Finish(now, d.Upstream, observation)
 //
-// Each Start must be followed by exactly one Finish.
+// Each Start must be followed by exactly one Finish, also for a copy that AllowHedge
+// permits.
 package agatebalance
--- a/core/agatelimit/limit.go
+++ b/core/agatelimit/limit.go
@@ -1,6 +1,12 @@
 // Package agatelimit holds the limits that upstreams name for all entry hosts
 // together. Each host learns of a limit from the responses that it gets itself, and
 // through the control group from those of other hosts.
+//
+// # Usage
+//
+//	var b agatelimit.Board
+//	b.Merge(now, reports)                   // from a host or a replica
+//	reports, cursor := b.Since(now, cursor) // for another one
 package agatelimit
 
 import "agategate/core/agateboard"
