agatefront: log on what evidence the links to the upstreams are judged

The verdict of a host on its own links could end without a line, when an attempt ended that had opened a connection, and a check with reached=0 and lost=false did not say what spoke against the loss.

--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -124,6 +124,12 @@
 	return t.links.heardAt.After(at) || t.links.connectedAt.After(at)
 }
 
+// LinkEvidence returns when an upstream last responded, and when one last accepted a
+// connection, or zero times if none has.
+func (t *Table) LinkEvidence() (heard, connected time.Time) {
+	return t.links.heardAt, t.links.connectedAt
+}
+
 // ProbeTargets returns up to maxLinkProbes upstreams: the one that responded last,
 // and others of different failure domains, if there are that many, which change with
 // each call.
--- a/io/agatefront/hedge.go
+++ b/io/agatefront/hedge.go
@@ -136,6 +136,7 @@
 	f.mu.Unlock()
 	p.logDomains(domainChanges)
 	if linksChanged {
+		p.logLinks(a.d.Upstream, &res)
 		f.control.requestHeartbeats()
 	}
 	if res.UpstreamDied && f.linksIntact(failedAt) {
--- a/io/agatefront/links.go
+++ b/io/agatefront/links.go
@@ -54,6 +54,7 @@
 	reached := f.probe(targets)
 	saturated := !<-reference
 	f.mu.Lock()
+	heard, connected := f.table.LinkEvidence()
 	f.table.RecordProbes(time.Now(), reached, saturated)
 	changed := f.updateLinksLost()
 	f.mu.Unlock()
@@ -61,10 +62,19 @@
 		f.control.requestHeartbeats()
 	}
 	if lost := f.linksLost.Load(); changed || !lost {
-		f.log.Info("links checked", "kind", "links", "lost", lost, "probes", len(targets), "reached", reached, "saturated", saturated, "took", time.Since(start).Round(time.Millisecond))
+		f.log.Info("links checked", "kind", "links", "lost", lost, "probes", len(targets), "reached", reached, "saturated", saturated,
+			"heard", formatAge(heard), "connected", formatAge(connected), "took", time.Since(start).Round(time.Millisecond))
 	}
 }
 
+// formatAge formats the time since an event for the log, or "never".
+func formatAge(at time.Time) string {
+	if at.IsZero() {
+		return "never"
+	}
+	return time.Since(at).Round(time.Millisecond).String()
+}
+
 // probe opens connections to upstreams and returns how many could be opened.
 func (f *Front) probe(targets []agatebalance.UpstreamInfo) int {
 	var reached atomic.Int64
