agatebalance: test that requests of before a cut do not prove the links intact

The simulation of a host's links now also loses the responses of requests that are in progress when the links are cut.

--- a/core/agatebalance/links_test.go
+++ b/core/agatebalance/links_test.go
@@ -22,10 +22,12 @@
 //	upstreams NUMBER   NUMBER of them, in three failure domains by turns
 //	rate NUMBER        requests per second at the host
 //	latency DURATION   time from a request to its response
+//	timeout DURATION   time until a request without an answer is given up (1s)
+//	reuse NUMBER       requests per connection (10)
 //	until TIME         end of the simulation
 //	lost TIME TIME     the host learns between the times that its links are lost
 //	intact TIME TIME   the host learns between the times that they are back
-//	TIME cut           requests and new connections get no answer
+//	TIME cut           requests, those in progress too, and new connections get no answer
 //	TIME saturate      nothing gets an answer, and the control group answers late as well
 //	TIME refuse        requests and new connections are refused
 //	TIME refuse-new N  new connections are refused; open ones live on to one in N upstreams
@@ -39,6 +41,8 @@
 	upstreams      int
 	rate           float64
 	latency, until time.Duration
+	timeout        time.Duration
+	reuse          int
 	events         []limitEvent
 	expected       []linksExpectation
 	link           string // "", "cut", "refuse" or "refuse-new"
@@ -61,7 +65,10 @@
 	r, err := os.Open(file)
 	assert.NilError(t, err)
 	defer func() { _ = r.Close() }() // it was only read
-	x := &linksSim{t: t, rng: rand.New(rand.NewPCG(1, 1)), begin: time.Unix(1000, 0), steps: map[time.Duration][]func(time.Time){}}
+	x := &linksSim{
+		t: t, rng: rand.New(rand.NewPCG(1, 1)), begin: time.Unix(1000, 0), steps: map[time.Duration][]func(time.Time){},
+		timeout: time.Second, reuse: 10,
+	}
 	for lines := bufio.NewScanner(r); lines.Scan(); {
 		if f := strings.Fields(lines.Text()); len(f) > 0 && f[0] != "#" {
 			x.parse(f)
@@ -92,6 +99,10 @@
 		x.rate, err = strconv.ParseFloat(f[1], 64)
 	case "latency":
 		x.latency = duration(f[1])
+	case "timeout":
+		x.timeout = duration(f[1])
+	case "reuse":
+		x.reuse, err = strconv.Atoi(f[1])
 	case "until":
 		x.until = duration(f[1])
 	case "lost":
@@ -105,11 +116,9 @@
 }
 
 const (
-	linksStep       = time.Millisecond
-	linksCheck      = 100 * time.Millisecond
-	linksDialLimit  = 500 * time.Millisecond
-	linksReuse      = 10          // calls per connection
-	linksRequestMax = time.Second // time until a request without an answer is given up
+	linksStep      = time.Millisecond
+	linksCheck     = 100 * time.Millisecond
+	linksDialLimit = 500 * time.Millisecond
 )
 
 func (x *linksSim) after(now time.Time, d time.Duration, run func(now time.Time)) {
@@ -203,9 +212,9 @@
 		return
 	}
 	x.table.Start(now, d.Upstream)
-	finish := func(d2 time.Duration, o agatebalance.Observation) {
-		o.Latency, o.Basis = d2, d.Basis
-		x.after(now, d2, func(at time.Time) { x.table.Finish(at, d.Upstream, o) })
+	finish := func(took time.Duration, o agatebalance.Observation) {
+		o.Latency, o.Basis = took, d.Basis
+		x.after(now, took, func(at time.Time) { x.table.Finish(at, d.Upstream, o) })
 	}
 	switch {
 	case x.link == "refuse-new" && x.rng.IntN(x.live) == 0:
@@ -213,9 +222,18 @@
 	case x.link == "refuse", x.link == "refuse-new", x.hasCrashed(d.Upstream):
 		finish(time.Millisecond, agatebalance.Observation{Outcome: agatebalance.NotSent})
 	case x.link == "cut", x.link == "saturate":
-		finish(linksRequestMax, agatebalance.Observation{Outcome: agatebalance.TimedOut})
+		finish(x.timeout, agatebalance.Observation{Outcome: agatebalance.TimedOut})
 	default:
-		finish(x.latency, agatebalance.Observation{Outcome: agatebalance.Answered, Connected: x.rng.IntN(linksReuse) == 0})
+		o := agatebalance.Observation{Outcome: agatebalance.Answered, Connected: x.rng.IntN(x.reuse) == 0}
+		x.after(now, x.latency, func(at time.Time) {
+			if x.link != "cut" {
+				o.Latency, o.Basis = x.latency, d.Basis
+				x.table.Finish(at, d.Upstream, o)
+				return
+			}
+			o.Outcome = agatebalance.TimedOut
+			finish(x.timeout, o)
+		})
 	}
 }
 
