agatebalance: a connection counts as a sign of life when it opens, not when its request ends

Cause: a connection that was opened for an attempt was recorded at the end of the attempt. Attempts that had opened theirs before the links were lost ended seconds later, timed out, and each of them counted as a connection of that moment: a check in which no probe was answered found the links intact, and a host that knew of the loss took it back, became ready and was named to callers again.

TestOwnLinksAreJudged/late and /cut failed with four changes of the verdict where two are expected (10.8, 14.9, 15.8, 25.3 s and 5.9, 6.0, 6.9, 12.4 s), and pass now.

The pool tells of a new connection as it opens, so the age of this evidence is right by construction. The same record ended the suspicion of a failure domain and confirmed the links before a request was reported as a crash's cause.

--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -41,8 +41,6 @@
 	// RTT is the network round-trip time measured when the connection was opened,
 	// or zero.
 	RTT time.Duration
-	// Connected reports that a new connection was opened for the attempt.
-	Connected bool
 	// Unreachable reports that there was no answer to the attempt to connect, if Outcome
 	// is NotSent.
 	Unreachable bool
@@ -94,6 +92,16 @@
 	}
 }
 
+// Connected records that an upstream accepted a new connection. It is to be called at
+// once: at the end of an attempt, which may take long, the connection no longer shows
+// that the upstream and the links to it are up.
+func (t *Table) Connected(now time.Time, id string) {
+	t.connected(now)
+	if u := t.upstreams[id]; u != nil {
+		t.domainHeard(u)
+	}
+}
+
 // Finish records the end of an attempt. It reports whether the upstream's limit
 // changed.
 func (t *Table) Finish(now time.Time, id string, o Observation) (limitChanged bool) {
@@ -114,11 +122,7 @@
 	if o.heard() {
 		t.heard(now, u)
 	}
-	switch {
-	case o.Connected:
-		t.connected(now)
-		t.domainHeard(u)
-	case o.Outcome == NotSent:
+	if o.Outcome == NotSent {
 		u.unconnectedAt = now
 	}
 	if o.Unreachable {
--- a/core/agatebalance/links_test.go
+++ b/core/agatebalance/links_test.go
@@ -224,7 +224,10 @@
 	case x.link == "cut", x.link == "saturate":
 		finish(x.timeout, agatebalance.Observation{Outcome: agatebalance.TimedOut})
 	default:
-		o := agatebalance.Observation{Outcome: agatebalance.Answered, Connected: x.rng.IntN(x.reuse) == 0}
+		o := agatebalance.Observation{Outcome: agatebalance.Answered}
+		if x.rng.IntN(x.reuse) == 0 {
+			x.table.Connected(now, d.Upstream)
+		}
 		x.after(now, x.latency, func(at time.Time) {
 			if x.link != "cut" {
 				o.Latency, o.Basis = x.latency, d.Basis
--- a/io/agatefront/hedge.go
+++ b/io/agatefront/hedge.go
@@ -119,6 +119,7 @@
 	done := f.suspects.start(p.fingerprint, a.d.Upstream)
 	defer done()
 	call := p.call(a.d)
+	call.Connected = a.recordConnection
 	call.BeforeWrite = func() bool {
 		a.written.Store(true)
 		return p.c.ctx.Err() == nil
@@ -131,14 +132,9 @@
 	o := a.observation(&res)
 	f.mu.Lock()
 	limitChanged := f.table.Finish(time.Now(), a.d.Upstream, o)
-	linksChanged := f.updateLinksLost()
 	domainChanges := f.table.TakeDomainChanges()
 	f.mu.Unlock()
 	p.logDomains(domainChanges)
-	if linksChanged {
-		p.logLinks(a.d.Upstream, &res)
-		f.control.requestHeartbeats()
-	}
 	if res.UpstreamDied && f.linksIntact(failedAt) {
 		f.reportCrash(a.d.Upstream)
 	}
@@ -149,6 +145,21 @@
 	return res
 }
 
+// recordConnection records that a new connection was opened for the attempt.
+func (a *attempt) recordConnection() {
+	p, f := a.p, a.p.f
+	f.mu.Lock()
+	f.table.Connected(time.Now(), a.d.Upstream)
+	linksChanged := f.updateLinksLost()
+	domainChanges := f.table.TakeDomainChanges()
+	f.mu.Unlock()
+	p.logDomains(domainChanges)
+	if linksChanged {
+		f.log.Info("links found", "kind", "links", "req", p.id, "lost", f.linksLost.Load(), "choice", a.d.Upstream)
+		f.control.requestHeartbeats()
+	}
+}
+
 // observation converts the result for the load-balancing table.
 func (a *attempt) observation(res *agateupstream.Result) agatebalance.Observation {
 	o := a.p.f.observation(res)
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -13,7 +13,6 @@
 	"agategate/core/agateplan"
 	"agategate/io/agatelog"
 	"agategate/io/agatemetrics"
-	"agategate/io/agateupstream"
 )
 
 const (
@@ -105,12 +104,6 @@
 		"named", limit.Named, "limit", formatRate(limit.Rate))
 }
 
-// logLinks logs that an attempt showed that the host's links to the upstreams are back.
-func (p *proxyRequest) logLinks(upstream string, res *agateupstream.Result) {
-	p.f.log.Info("links found", "kind", "links", "req", p.id, "lost", p.f.linksLost.Load(), "choice", upstream,
-		"end", res.Kind.String(), "took", res.Elapsed.Round(time.Millisecond))
-}
-
 // formatRate formats requests per second for the log.
 func formatRate(rate float64) string { return strconv.FormatFloat(rate, 'f', 2, 64) }
 
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -382,7 +382,7 @@
 
 // observation converts the result of an attempt for the load-balancing table.
 func (f *Front) observation(res *agateupstream.Result) agatebalance.Observation {
-	o := agatebalance.Observation{Latency: res.Elapsed, RTT: res.RTT, UpstreamDied: res.UpstreamDied, Responded: res.Status != 0, Connected: res.Connected}
+	o := agatebalance.Observation{Latency: res.Elapsed, RTT: res.RTT, UpstreamDied: res.UpstreamDied, Responded: res.Status != 0}
 	o.Running, o.Waiting, o.Reported = parseLoad(res.Header.Get(f.headers.Load))
 	o.Limit = parseLimit(res.Header.Get(f.headers.Limit))
 	if errors.Is(res.Err, agateupstream.ErrWriteRejected) {
--- a/io/agateupstream/call.go
+++ b/io/agateupstream/call.go
@@ -44,6 +44,8 @@
 	// By default only Deadline plus Grace applies. It has no effect on actions,
 	// because giving up early on an action only loses its response.
 	ReadIdleTimeout time.Duration
+	// Connected is called when a new connection was opened for the call. It may be nil.
+	Connected func()
 	// BeforeWrite is called immediately before the first byte is written. If it
 	// returns false, nothing is written. It may be nil.
 	BeforeWrite func() bool
@@ -106,8 +108,6 @@
 	// UpstreamDied reports that the connection broke while the request was in
 	// flight and that the upstream's process probably ended.
 	UpstreamDied bool
-	// Connected reports that a new connection was opened for the call.
-	Connected bool
 	// RetryAfter is the Retry-After time of the response, or 0.
 	RetryAfter time.Duration
 	Elapsed    time.Duration
--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -22,8 +22,6 @@
 	buf  *bufio.Reader
 	// rtt is the time taken to open the connection, which is one round trip.
 	rtt time.Duration
-	// reused is set once an idle connection carries a further call.
-	reused bool
 	// lastActivity is when the connection was opened or last received bytes.
 	lastActivity time.Time
 	// deadline is the deadline of all reads; readIdleTimeout, if positive,
--- a/io/agateupstream/pool.go
+++ b/io/agateupstream/pool.go
@@ -267,7 +267,6 @@
 	x := exchange{ctx: ctx, call: call, conn: c, header: outgoingHeader(call, p.cfg.DeadlineHeader), cfg: &p.cfg, bodies: p.bodies}
 	r = x.roundTrip()
 	r.RTT = c.rtt
-	r.Connected = !c.reused
 	x.waitWritten()
 	reusable := stop() && x.reusable
 	if x.unresponsive {
@@ -313,7 +312,6 @@
 		return nil, Result{Kind: Busy, Err: ErrBusy}, false
 	}
 	if c != nil {
-		c.reused = true
 		return c, Result{}, true
 	}
 	c, err := p.dial(ctx, call)
@@ -321,6 +319,9 @@
 		u.releaseSlot()
 		return nil, dialFailure(ctx, call, err), false
 	}
+	if call.Connected != nil {
+		call.Connected()
+	}
 	return c, Result{}, true
 }
 
