--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -174,7 +174,7 @@
 		"req", p.id, "route", name, "version", p.planVersion(), "service", p.criteria.Service, "object", formatObject(p.criteria.AffinityKey),
 		"choice", p.lastDecision.Upstream, "first", p.lastDecision.Best, "reason", string(p.lastDecision.Reason), "considered", p.lastDecision.Considered,
 		"expected", p.lastDecision.ExpectedLatency.Round(time.Millisecond), "load", strconv.FormatFloat(p.lastDecision.Load, 'f', 1, 64),
-		"age", p.lastDecision.ReportAge.Round(time.Millisecond), "attempts", p.attempts, "unsent", p.unsent, "end", p.lastResult,
+		"age", p.lastDecision.ReportAge.Round(time.Millisecond), "attempts", p.attempts, "unsent", p.unsent, "end", p.lastResult, "pause", p.lastPause,
 		"left", left, "hedged", p.hedged, "copy", p.copyAnswered,
 	}
 }
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -73,6 +73,8 @@
 	// lastResult is the status code or kind of the last attempt's result, for
 	// the log.
 	lastResult string
+	// lastPause is the Retry-After time of the last attempt's response, for the log.
+	lastPause time.Duration
 	// hedged is set if a copy was sent in the last attempt, and copyAnswered if it was
 	// answered first.
 	hedged, copyAnswered bool
@@ -250,6 +252,7 @@
 	res := p.send(d)
 	p.criteria.Tried = append(p.criteria.Tried, d.Upstream)
 	p.lastResult = res.Kind.String()
+	p.lastPause = res.RetryAfter
 	return p.handleResult(&res)
 }
 
