agatebalance: failures of requests sent before the links were back do not count

A request that was in progress while the links were lost, and ended after they were back, ejected its upstream or counted towards a suspected failure domain. On a deployment with requests of up to 10 s that goes on for seconds after the return. TestFailuresFromLostLinksDoNotCount failed before: each of three upstreams ejected, failure rate 1.00.

--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -109,6 +109,9 @@
 	if u == nil {
 		return false
 	}
+	if !o.heard() && now.Add(-o.Latency).Before(t.links.backAt) {
+		o.Outcome, o.Unreachable = Canceled, false // the links failed, and not the upstream
+	}
 	limitChanged = t.recordLimit(now, u, &o)
 	u.inFlight = max(0, u.inFlight-1)
 	if o.RTT > 0 {
--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -33,6 +33,8 @@
 	// heardAt is when an upstream last responded, and connectedAt when one last
 	// accepted a connection.
 	heardAt, connectedAt time.Time
+	// backAt is when the links were last found to be back after a loss.
+	backAt time.Time
 	// silence is the current value between minSilence and maxSilence.
 	silence  time.Duration
 	probedAt time.Time
@@ -66,6 +68,7 @@
 		return
 	}
 	l.lost = false
+	l.backAt = now
 	for _, d := range t.domains {
 		d.heard()
 	}
--- a/core/agatebalance/links_test.go
+++ b/core/agatebalance/links_test.go
@@ -259,3 +259,43 @@
 		})
 	}
 }
+
+// Guards against requests that were in progress while the links were lost, and end
+// after they are back, that eject upstreams or make a failure domain suspected.
+func TestFailuresFromLostLinksDoNotCount(t *testing.T) {
+	const start, lostAt, backAt, end = time.Second, 2 * time.Second, 4 * time.Second, 6 * time.Second
+	for _, o := range []agatebalance.Observation{
+		{Outcome: agatebalance.TimedOut},
+		{Outcome: agatebalance.Failed},
+		{Outcome: agatebalance.NotSent, Unreachable: true},
+	} {
+		table, begin := newTable(), time.Unix(1000, 0)
+		ids := []string{"u1", "u2", "u3"}
+		var infos []agatebalance.UpstreamInfo
+		for _, id := range ids {
+			infos = append(infos, newInfo(id))
+		}
+		table.UpdateUpstreams(begin, infos, true, nil)
+		for _, id := range ids {
+			for range 3 {
+				table.Start(begin.Add(start), id)
+			}
+		}
+		assert.Assert(t, len(table.LinkProbes(begin.Add(lostAt))) > 0)
+		table.RecordProbes(begin.Add(lostAt), 0, false)
+		assert.Assert(t, table.LinksLost())
+		table.Connected(begin.Add(backAt), "u1")
+		assert.Assert(t, !table.LinksLost())
+		o.Latency = end - start
+		for _, id := range ids {
+			for range 3 {
+				table.Finish(begin.Add(end), id, o)
+			}
+		}
+		for _, u := range table.Status(begin.Add(end)) {
+			assert.Check(t, !u.Ejected && u.FailureRate == 0, "%s after %d: ejected %t, failure rate %.2f", u.Info.ID, o.Outcome, u.Ejected, u.FailureRate)
+			assert.Equal(t, u.InFlight, 0)
+		}
+		assert.Equal(t, len(table.TakeDomainChanges()), 0)
+	}
+}
