agatebalance, agatefront: an upstream that asks for a pause gets no requests

Cause: io/agateupstream parses Retry-After, and io/agatefront never used it.

The time is kept for each upstream's process and the longest one counts. A paused upstream is no candidate, not even as the last resort, gets no copies, and nothing is written to it when the pause begins while a connection is being opened. If only paused upstreams are left, callers are told when the first pause ends.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -88,6 +88,7 @@
 	ReasonBusy        Reason = "busy"      // none has room; at least one is full, too slow for the target, or excluded by a load or overflow limit
 	ReasonCold        Reason = "cold"      // none has room; at least one is cold, none is busy
 	ReasonLimited     Reason = "limit"     // none has room; at least one names a limit of which this host's share is used up, none is busy or cold
+	ReasonPaused      Reason = "pause"     // none has room; at least one has asked this host for a pause, none is busy, cold or limited
 	ReasonNoLink      Reason = "no link"   // this host has lost its links to all upstreams
 	ReasonDeadline    Reason = "late"      // no eligible upstream can respond before the deadline
 	ReasonBudget      Reason = "budget"    // the retry budget is exhausted; set by callers of AllowRetry, not by Choose
@@ -131,7 +132,7 @@
 	// rememberedSeconds is cachedSeconds with the load that loadMemory keeps.
 	rememberedSeconds float64
 	basis             Basis
-	unhealthy         bool // failing, ejected or unresponsive
+	unhealthy         bool // failing, ejected, unresponsive or paused
 	position          int  // number of healthy upstreams before it in the preference order
 }
 
@@ -153,10 +154,12 @@
 	// The number of rejected candidates by cause. Those in busyCount are full, too
 	// slow for the target, above fallbackMaxLoad, or excluded by the overflow limit.
 	// Those in coldCount are cold, those in limitedCount have a limit of which this
-	// host's share is used up, and those in lateCount are too slow for the deadline.
+	// host's share is used up, those in pausedCount have asked this host for a pause,
+	// and those in lateCount are too slow for the deadline.
 	busyCount    int
 	coldCount    int
 	limitedCount int
+	pausedCount  int
 	lateCount    int
 
 	// minBusySeconds is the least cachedSeconds of the candidates that are full or too
@@ -222,9 +225,9 @@
 		return c
 	}
 	local := x.first(func(c *candidate) bool { return !x.leavesHome(c) })
-	if local == nil && x.coldCount+x.limitedCount > 0 {
-		// The upstreams of the home region are cold or name a limit, which is a failure
-		// and no change of load.
+	if local == nil && x.coldCount+x.limitedCount+x.pausedCount > 0 {
+		// The upstreams of the home region are cold, name a limit or ask for a pause,
+		// which is a failure and no change of load.
 		x.s.disruptedAt = x.now
 		return c
 	}
@@ -234,11 +237,11 @@
 // first returns the candidate with the lowest cost that has room and that allowed
 // permits, healthy ones first, or nil.
 func (x *search) first(allowed func(c *candidate) bool) *candidate {
-	x.busyCount, x.coldCount, x.limitedCount, x.lateCount = 0, 0, 0, 0
+	x.resetCounts()
 	if c := x.firstUnloaded(allowed); c != nil {
 		return c
 	}
-	x.busyCount, x.coldCount, x.limitedCount, x.lateCount = 0, 0, 0, 0
+	x.resetCounts()
 	for _, unhealthy := range []bool{false, true} {
 		for i := range x.candidates {
 			c := &x.candidates[i]
@@ -257,6 +260,11 @@
 	return nil
 }
 
+// resetCounts clears the counts of rejected candidates.
+func (x *search) resetCounts() {
+	x.busyCount, x.coldCount, x.limitedCount, x.pausedCount, x.lateCount = 0, 0, 0, 0, 0
+}
+
 // firstUnloaded is first among the healthy candidates at the head of the preference
 // order whose remembered load lets them respond within the target.
 func (x *search) firstUnloaded(allowed func(c *candidate) bool) *candidate {
@@ -333,7 +341,7 @@
 
 func (x *search) newCandidate(u *upstream) candidate {
 	c := candidate{u: u, load: u.load(x.now) / u.slots()}
-	c.unhealthy = x.t.down(x.now, u) || u.decayedFailureRate(x.now) > maxFailureRate
+	c.unhealthy = x.t.down(x.now, u) || u.paused(x.now) || u.decayedFailureRate(x.now) > maxFailureRate
 	// A slow upstream has, in effect, fewer slots.
 	c.slowness = u.slowness.value(x.now, &x.s.work)
 	c.waiting = max(0, c.load+1/u.slots()-1)
@@ -345,7 +353,7 @@
 
 // estimate sets the expected latency of a candidate, whose position must be set.
 func (x *search) estimate(c *candidate) {
-	b := Basis{affinityKey: x.r.AffinityKey, class: workOther}
+	b := Basis{startedAtMs: c.u.info.StartedAtMs, affinityKey: x.r.AffinityKey, class: workOther}
 	switch {
 	case x.r.AffinityKey == 0:
 		b.class = workPlain
@@ -387,6 +395,8 @@
 func (x *search) hasRoom(c *candidate) bool {
 	idle := c.load < 1
 	switch {
+	case c.u.paused(x.now):
+		x.pausedCount++
 	case x.now.Add(seconds(c.expectedSeconds)).After(x.r.Deadline):
 		x.lateCount++
 	case !idle && c.load+1/c.u.slots() > maxLoadPerSlot, !idle && !x.r.Target.IsZero() && c.cachedSeconds > x.maxSeconds():
@@ -505,11 +515,16 @@
 	case x.limitedCount > 0:
 		d.Reason = ReasonLimited
 		d.RetryAfter = maxRetryAfter / 2
+	case x.pausedCount > 0:
+		d.Reason = ReasonPaused
 	case x.lateCount > 0:
 		d.Reason = ReasonDeadline
 		d.RetryAfter = minRetryAfter
 	}
 	d.RetryAfter = min(max(d.RetryAfter, minRetryAfter), maxRetryAfter)
+	if d.Reason == ReasonPaused {
+		d.RetryAfter = max(minRetryAfter, x.pauseLeft()) // an earlier return would be in vain
+	}
 	// Jitter, so that callers rejected together do not retry together.
 	d.RetryAfter += time.Duration(hashScore(x.r.ID, "") * float64(d.RetryAfter))
 	return d
--- a/core/agatebalance/estimate.go
+++ b/core/agatebalance/estimate.go
@@ -44,6 +44,7 @@
 // Basis describes how the latency of a request was estimated. Choose returns it
 // with a Decision, and Finish compares it with the result.
 type Basis struct {
+	startedAtMs int64 // of the chosen upstream's process
 	affinityKey uint64
 	class       workClass
 	// serviceSeconds and waitSeconds are the expected service time and the time in
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -52,6 +52,9 @@
 	Running, Waiting int
 	// Limit is the limit that the response names, if any.
 	Limit agatelimit.Limit
+	// Pause is the time for which the upstream wants no requests from this host,
+	// counted from its response.
+	Pause time.Duration
 	// Basis is the one of the decision that the attempt follows.
 	Basis Basis
 	// Hedged reports that a copy of the request was sent while it ran, and
@@ -113,6 +116,7 @@
 		o.Outcome, o.Unreachable = Canceled, false // the links failed, and not the upstream
 	}
 	limitChanged = t.recordLimit(now, u, &o)
+	u.recordPause(now, &o)
 	u.inFlight = max(0, u.inFlight-1)
 	if o.RTT > 0 {
 		u.rtt.add(o.RTT.Seconds(), latencyWindow)
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -90,6 +90,8 @@
 
 	coldUntil  time.Time
 	coldBucket bucket
+
+	pausedUntil time.Time // see Observation.Pause
 }
 
 func newUpstream(id string) *upstream {
--- a/io/agatefront/hedge.go
+++ b/io/agatefront/hedge.go
@@ -121,8 +121,11 @@
 	call := p.call(a.d)
 	call.Connected = a.recordConnection
 	call.BeforeWrite = func() bool {
+		if p.c.ctx.Err() != nil || !f.maySend(a.d.Upstream) {
+			return false
+		}
 		a.written.Store(true)
-		return p.c.ctx.Err() == nil
+		return true
 	}
 	res := f.pool.Do(ctx, call)
 	if res.Kind == agateupstream.Answered {
@@ -145,6 +148,13 @@
 	return res
 }
 
+// maySend reports whether an upstream still takes a request that was started for it.
+func (f *Front) maySend(upstream string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.MaySend(time.Now(), upstream)
+}
+
 // recordConnection records that a new connection was opened for the attempt.
 func (a *attempt) recordConnection() {
 	p, f := a.p, a.p.f
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -388,8 +388,13 @@
 	o := agatebalance.Observation{Latency: res.Elapsed, RTT: res.RTT, UpstreamDied: res.UpstreamDied, Responded: res.Status != 0}
 	o.Running, o.Waiting, o.Reported = parseLoad(res.Header.Get(f.headers.Load))
 	o.Limit = parseLimit(res.Header.Get(f.headers.Limit))
+	if res.Status == http.StatusServiceUnavailable {
+		o.Pause = res.RetryAfter
+	}
 	if errors.Is(res.Err, agateupstream.ErrWriteRejected) {
-		o.Outcome = agatebalance.Canceled // the caller left before the request was written
+		// The caller left, or the upstream asked for a pause, before the request was
+		// written.
+		o.Outcome = agatebalance.Canceled
 		return o
 	}
 	switch res.Kind {
