agateroute: a pause that an upstream asks for holds for all requests, and the longest counts

The rule now reads that an upstream which turns a request away with a time wants nothing from that host for so long.

The oracle of the fuzz test does the same, with pauses of different length.

--- a/core/agateroute/announce.go
+++ b/core/agateroute/announce.go
@@ -153,7 +153,7 @@
 		u.clearFailures()
 	}
 	u.ejection = ejection{}
-	u.retryAfter = [2]time.Time{}
+	u.pausedUntil = time.Time{}
 	u.drainSince = time.Time{}
 	u.drainDone = false
 	u.ramp.start(a.Sequence)
--- a/core/agateroute/candidate.go
+++ b/core/agateroute/candidate.go
@@ -77,7 +77,7 @@
 
 // excluded reports whether an upstream must not receive this request now.
 func (u *upstream) excluded(now time.Time, r *Request) bool {
-	if u.inRetryAfter(now, r.Class) || u.ejection.active(now) || u.inProbeBackoff(now) || (r.Suspect && u.suspects > 0) {
+	if u.paused(now) || u.ejection.active(now) || u.inProbeBackoff(now) || (r.Suspect && u.suspects > 0) {
 		return true
 	}
 	for _, id := range r.Tried {
--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -40,8 +40,8 @@
 		u.group.shiftedInFlight = max(0, u.group.shiftedInFlight-1)
 		u.group.lastShift = now
 	}
-	if obs.RetryAfter > 0 {
-		u.retryAfter[obs.Class&1] = now.Add(obs.RetryAfter)
+	if until := now.Add(obs.RetryAfter); obs.RetryAfter > 0 && until.After(u.pausedUntil) {
+		u.pausedUntil = until
 	}
 	switch obs.Outcome {
 	case Answered:
--- a/core/agateroute/fuzz_test.go
+++ b/core/agateroute/fuzz_test.go
@@ -32,7 +32,7 @@
 	announcement Announcement
 	announcedAt  time.Time
 	inFlight     int
-	retryAfter   [2]time.Time
+	pausedUntil  time.Time
 	retired      bool
 }
 
@@ -89,7 +89,7 @@
 		o.upstreams[id] = k
 	}
 	if a.Incarnation > k.announcement.Incarnation {
-		k.retryAfter = [2]time.Time{}
+		k.pausedUntil = time.Time{}
 	}
 	k.announcement, k.announcedAt = a, o.now
 }
@@ -137,7 +137,7 @@
 		o.t.Fatalf("sent %s after its deadline", r.ID)
 	case k.announcement.State != Up || k.retired:
 		o.t.Fatalf("request sent to %s in state %v, retired %v", d.Upstream, k.announcement.State, k.retired)
-	case o.now.Before(k.retryAfter[r.Class]):
+	case o.now.Before(k.pausedUntil):
 		o.t.Fatalf("request sent to %s before its Retry-After ended", d.Upstream)
 	case len(r.Tried) > 0 && r.Tried[0] == d.Upstream:
 		o.t.Fatalf("request sent again to %s, which it had tried", d.Upstream)
@@ -172,14 +172,16 @@
 	attempt := o.running[i]
 	o.running = append(o.running[:i], o.running[i+1:]...)
 	obs := Observation{
-		Outcome: rapid.SampledFrom([]Outcome{Answered, Answered, Answered, Shed, NotSent, Failed, Failed, TimedOut, Canceled}).Draw(t, "outcome"),
-		Class:   attempt.request.Class, HomeRegion: "r0", Suspect: attempt.request.Suspect,
+		Outcome:    rapid.SampledFrom([]Outcome{Answered, Answered, Answered, Shed, NotSent, Failed, Failed, TimedOut, Canceled}).Draw(t, "outcome"),
+		HomeRegion: "r0", Suspect: attempt.request.Suspect,
 		Latency: time.Duration(rapid.IntRange(1, 60).Draw(t, "latency")) * time.Millisecond,
 	}
 	k := o.upstreams[attempt.upstream]
 	if obs.Outcome == Shed {
-		obs.RetryAfter = 50 * time.Millisecond
-		k.retryAfter[attempt.request.Class] = o.now.Add(obs.RetryAfter)
+		obs.RetryAfter = rapid.SampledFrom([]time.Duration{10 * time.Millisecond, 50 * time.Millisecond}).Draw(t, "retry-after")
+		if until := o.now.Add(obs.RetryAfter); until.After(k.pausedUntil) {
+			k.pausedUntil = until
+		}
 	}
 	k.inFlight--
 	o.table.Finish(o.now, attempt.upstream, obs)
--- a/core/agateroute/request.go
+++ b/core/agateroute/request.go
@@ -123,7 +123,6 @@
 // Observation describes the end of one attempt at an upstream.
 type Observation struct {
 	Outcome Outcome
-	Class   agateinventory.Class
 	// HomeRegion is the home region of the request. Empty means the region of
 	// the upstream.
 	HomeRegion string
@@ -132,7 +131,8 @@
 	// RTT is the part of Latency spent on the network round trip, as measured
 	// when the connection was opened. Zero means unknown.
 	RTT time.Duration
-	// RetryAfter is the delay requested by the upstream, or zero.
+	// RetryAfter is the time for which the upstream wants no requests from this host,
+	// of any class, or zero. The longest one counts.
 	RetryAfter time.Duration
 	// Suspect is the value of Request.Suspect.
 	Suspect bool
--- a/core/agateroute/script_test.go
+++ b/core/agateroute/script_test.go
@@ -261,7 +261,6 @@
 func (s *script) observation(a args) Observation {
 	return Observation{
 		Outcome: outcomes[a.str("outcome", "answered")], HomeRegion: a.str("home", ""), Latency: a.duration("latency", 20*time.Millisecond),
-		Class:      map[string]agateinventory.Class{"read": agateinventory.Read}[a.str("class", "read")],
 		RetryAfter: a.duration("retry-after", 0), Suspect: a.str("suspect", "") != "", UpstreamDied: a.str("died", "") != "",
 	}
 }
--- a/core/agateroute/upstream.go
+++ b/core/agateroute/upstream.go
@@ -3,8 +3,6 @@
 import (
 	"net/netip"
 	"time"
-
-	"agategate/core/agateinventory"
 )
 
 // UpstreamID is the stable identity of an upstream.
@@ -63,7 +61,7 @@
 	ejected      bool // set by an ejection, cleared by the first Tick after its end
 	failures     int
 	nextProbe    time.Time
-	retryAfter   [2]time.Time // by class: no new requests before this time
+	pausedUntil  time.Time // no new requests before this time, see Observation.RetryAfter
 	retired      bool
 	sameDomain   bool // in the failure domain of this entry host
 	stagedDrains []stagedDrain
@@ -128,11 +126,8 @@
 	return false
 }
 
-// inRetryAfter reports whether the upstream's Retry-After is in effect for a
-// class.
-func (u *upstream) inRetryAfter(now time.Time, c agateinventory.Class) bool {
-	return now.Before(u.retryAfter[c&1])
-}
+// paused reports whether the upstream wants no requests from this host.
+func (u *upstream) paused(now time.Time) bool { return now.Before(u.pausedUntil) }
 
 // clearFailures resets the consecutive failures.
 func (u *upstream) clearFailures() {
--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -169,7 +169,6 @@
 func (e *Entry) observation(cl *call, d agateroute.Decision, r agateupstream.Result, isolated bool) agateroute.Observation {
 	return agateroute.Observation{
 		Outcome:      routeOutcome(r),
-		Class:        cl.class,
 		HomeRegion:   cl.homeRegion,
 		Latency:      r.Elapsed,
 		RTT:          r.RTT,
