agatebalance, agatefront: an upstream whose response says that it leaves gets no more requests

The state came from heartbeats through the control group only, so a host that had passed on such a response went on sending to that upstream until the group told it so, or for good when cut off from the group.

The statement holds for the rest of the upstream's process and only for the process that made it: a late response of an earlier one, or of another upstream at its address, is not taken for it.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -291,7 +291,7 @@
 
 // usable reports whether an upstream may get the request, unless it has been tried.
 func (x *search) usable(u *upstream) bool {
-	return !u.info.Draining && !slices.Contains(x.t.evacuated, u.info.Domain) && x.r.Route.AllowsRegion(u.region)
+	return !u.draining() && !slices.Contains(x.t.evacuated, u.info.Domain) && x.r.Route.AllowsRegion(u.region)
 }
 
 // collectCandidates collects the usable upstreams that have not been tried, sorted
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -55,6 +55,8 @@
 	// Pause is the time for which the upstream wants no requests from this host,
 	// counted from its response.
 	Pause time.Duration
+	// Leaving reports that the response says that the upstream is about to stop.
+	Leaving bool
 	// Basis is the one of the decision that the attempt follows.
 	Basis Basis
 	// Hedged reports that a copy of the request was sent while it ran, and
@@ -105,18 +107,26 @@
 	}
 }
 
-// Finish records the end of an attempt. It reports whether the upstream's limit
-// changed.
-func (t *Table) Finish(now time.Time, id string, o Observation) (limitChanged bool) {
+// Changes tells what Finish has learned about an upstream.
+type Changes struct {
+	Limit   bool // its limit changed
+	Leaving bool // it is about to stop, which was not known
+}
+
+// Finish records the end of an attempt.
+func (t *Table) Finish(now time.Time, id string, o Observation) (c Changes) {
 	u := t.upstreams[id]
 	if u == nil {
-		return false
+		return c
 	}
 	if !o.heard() && now.Add(-o.Latency).Before(t.links.backAt) {
 		o.Outcome, o.Unreachable = Canceled, false // the links failed, and not the upstream
 	}
-	limitChanged = t.recordLimit(now, u, &o)
-	u.recordPause(now, &o)
+	c.Limit = t.recordLimit(now, u, &o)
+	if u.stated(&o) {
+		u.recordPause(now, &o)
+		c.Leaving = t.recordLeaving(now, u, &o)
+	}
 	u.inFlight = max(0, u.inFlight-1)
 	if o.RTT > 0 {
 		u.rtt.add(o.RTT.Seconds(), latencyWindow)
@@ -156,7 +166,7 @@
 		u.recordFailure(now, 1, o.UpstreamDied)
 	case Canceled:
 	}
-	return limitChanged
+	return c
 }
 
 // disrupt records a failure after which load may move between regions.
--- a/core/agatebalance/hedge.go
+++ b/core/agatebalance/hedge.go
@@ -77,7 +77,7 @@
 // mayHedge reports whether an upstream may get copies. A slow one would answer none
 // sooner, and a cold, limited or paused one has no requests to spare.
 func (t *Table) mayHedge(now time.Time, u *upstream) bool {
-	return !now.Before(u.coldUntil) && !u.limit.limit.Named && !u.info.Draining && !u.paused(now) &&
+	return !now.Before(u.coldUntil) && !u.limit.limit.Named && !u.draining() && !u.paused(now) &&
 		u.slowness.value(now, &t.service(u.info.Service).work) < slownessThreshold
 }
 
--- a/core/agatebalance/limit_test.go
+++ b/core/agatebalance/limit_test.go
@@ -320,7 +320,7 @@
 			o.Limit = x.limit
 		}
 		x.after(at, oneWay+10*time.Millisecond, func(at time.Time) {
-			if table.Finish(at, d.Upstream, o) && !x.alone && h.table == table {
+			if table.Finish(at, d.Upstream, o).Limit && !x.alone && h.table == table {
 				x.sendReports(at, h)
 			}
 			if o.Limit.Named && h.table == table {
--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -107,7 +107,7 @@
 	}
 	usable, unanswered, unconnected := 0, 0, 0
 	for _, u := range t.upstreams {
-		if !u.info.Draining && !slices.Contains(t.evacuated, u.info.Domain) {
+		if !u.draining() && !slices.Contains(t.evacuated, u.info.Domain) {
 			usable++
 		}
 		if u.lastFailureAt.After(l.heardAt) || u.inFlight > 0 && now.Sub(u.unansweredSince) >= l.silence {
--- a/core/agatebalance/pause.go
+++ b/core/agatebalance/pause.go
@@ -2,14 +2,17 @@
 
 import "time"
 
+// stated reports whether the response to an attempt is a statement of the upstream's
+// present process, and not of an earlier one or of another upstream at its address.
+func (u *upstream) stated(o *Observation) bool {
+	return o.Outcome != WrongUpstream && o.Basis.startedAtMs == u.info.StartedAtMs
+}
+
 // recordPause records the time for which an upstream wants no requests from this host.
 // The longest one counts: responses to requests that arrived together may name
-// different times. A response of an earlier process of the upstream does not count.
+// different times.
 func (u *upstream) recordPause(now time.Time, o *Observation) {
-	if o.Pause <= 0 || o.Basis.startedAtMs != u.info.StartedAtMs {
-		return
-	}
-	if until := now.Add(o.Pause); until.After(u.pausedUntil) {
+	if until := now.Add(o.Pause); o.Pause > 0 && until.After(u.pausedUntil) {
 		u.pausedUntil = until
 	}
 }
--- a/core/agatebalance/regions.go
+++ b/core/agatebalance/regions.go
@@ -37,7 +37,7 @@
 	}
 	local, total, numLocal := 0.0, 0.0, 0
 	for _, u := range s.upstreams {
-		if u.info.Draining || slices.Contains(t.evacuated, u.info.Domain) {
+		if u.draining() || slices.Contains(t.evacuated, u.info.Domain) {
 			continue
 		}
 		total += u.slots()
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -92,6 +92,7 @@
 	coldBucket bucket
 
 	pausedUntil time.Time // see Observation.Pause
+	leaving     bool      // see Observation.Leaving
 }
 
 func newUpstream(id string) *upstream {
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -54,6 +54,7 @@
 	Stamp          string // marks a response as sent by an upstream; not checked by default
 	Load           string // "running,waiting,slots" of the responding upstream
 	Limit          string // requests per second that the upstream takes from all hosts together
+	Leaving        string // "1" if the responding upstream is about to stop
 	// NotRun reports whether a response states that the upstream did not
 	// run the request. The default accepts what agateupstream.Config.NotRun
 	// accepts by default.
@@ -72,6 +73,7 @@
 	set(&h.ExpectUpstream, "Agate-Expect")
 	set(&h.Load, "Agate-Load")
 	set(&h.Limit, "Agate-Limit")
+	set(&h.Leaving, "Agate-Leaving")
 	return h
 }
 
--- a/io/agatefront/hedge.go
+++ b/io/agatefront/hedge.go
@@ -134,14 +134,17 @@
 	failedAt := time.Now()
 	o := a.observation(&res)
 	f.mu.Lock()
-	limitChanged := f.table.Finish(time.Now(), a.d.Upstream, o)
+	changes := f.table.Finish(time.Now(), a.d.Upstream, o)
 	domainChanges := f.table.TakeDomainChanges()
 	f.mu.Unlock()
 	p.logDomains(domainChanges)
 	if res.UpstreamDied && f.linksIntact(failedAt) {
 		f.reportCrash(a.d.Upstream)
 	}
-	if limitChanged {
+	if changes.Leaving {
+		p.logLeaving(a.d.Upstream)
+	}
+	if changes.Limit {
 		p.logLimit(o.Limit)
 		f.control.requestHeartbeats() // other hosts learn of it
 	}
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -104,6 +104,11 @@
 		"named", limit.Named, "limit", formatRate(limit.Rate))
 }
 
+// logLeaving logs that a response says that its upstream is about to stop.
+func (p *proxyRequest) logLeaving(upstream string) {
+	p.f.log.Info("upstream leaves", "kind", "upstream", "req", p.id, "service", p.criteria.Service, "choice", upstream)
+}
+
 // formatRate formats requests per second for the log.
 func formatRate(rate float64) string { return strconv.FormatFloat(rate, 'f', 2, 64) }
 
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -41,6 +41,9 @@
 	maxDeadlineMs = 1e9
 )
 
+// headerTrue is the value of a header that states a condition.
+const headerTrue = "1"
+
 // reasonTimeout is the reason of the reply to a request whose deadline passed
 // while an upstream may still be processing it.
 const reasonTimeout = "timeout"
@@ -388,6 +391,7 @@
 	o := agatebalance.Observation{Latency: res.Elapsed, RTT: res.RTT, UpstreamDied: res.UpstreamDied, Responded: res.Status != 0}
 	o.Running, o.Waiting, o.Reported = parseLoad(res.Header.Get(f.headers.Load))
 	o.Limit = parseLimit(res.Header.Get(f.headers.Limit))
+	o.Leaving = res.Header.Get(f.headers.Leaving) == headerTrue
 	if res.Status == http.StatusServiceUnavailable {
 		o.Pause = res.RetryAfter
 	}
