agateroute, agateentry: an upstream whose response says that it leaves gets no more requests

TestScripts/drain.txtar/response failed before (no drain began) and passes now; the fuzz test draws such responses.

Decisions name the incarnation of the chosen upstream, and a response counts as a statement of that one only, also for pauses: one of a process that has ended since would have kept its successor from work. The demo's upstream sends the header.

--- a/core/agateroute/announce.go
+++ b/core/agateroute/announce.go
@@ -154,6 +154,7 @@
 	}
 	u.ejection = ejection{}
 	u.pausedUntil = time.Time{}
+	u.leaving = false
 	u.drainSince = time.Time{}
 	u.drainDone = false
 	u.ramp.start(a.Sequence)
--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -186,6 +186,7 @@
 		Verdict:         Send,
 		Upstream:        sel.best.id,
 		Address:         sel.best.addr,
+		Incarnation:     sel.best.announcement.Incarnation,
 		Region:          g.region,
 		Reason:          reason,
 		Considered:      sel.considered,
--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -40,8 +40,8 @@
 		u.group.shiftedInFlight = max(0, u.group.shiftedInFlight-1)
 		u.group.lastShift = now
 	}
-	if until := now.Add(obs.RetryAfter); obs.RetryAfter > 0 && until.After(u.pausedUntil) {
-		u.pausedUntil = until
+	if obs.Incarnation == u.announcement.Incarnation {
+		u.recordStatements(now, &obs)
 	}
 	switch obs.Outcome {
 	case Answered:
@@ -52,6 +52,18 @@
 	t.updateDrain(now, u)
 }
 
+// recordStatements records what the response to a request of this incarnation says
+// about the upstream.
+func (u *upstream) recordStatements(now time.Time, obs *Observation) {
+	if until := now.Add(obs.RetryAfter); obs.RetryAfter > 0 && until.After(u.pausedUntil) {
+		u.pausedUntil = until
+	}
+	if obs.Leaving && !u.leaving {
+		u.leaving = true
+		u.group.updateTotals(u)
+	}
+}
+
 // upstreamInFlight estimates the requests at an upstream over all entry hosts.
 func (t *Table) upstreamInFlight(now time.Time, u *upstream) float64 {
 	v := t.loadView(now, u.group)
--- a/core/agateroute/fuzz_test.go
+++ b/core/agateroute/fuzz_test.go
@@ -33,12 +33,14 @@
 	announcedAt  time.Time
 	inFlight     int
 	pausedUntil  time.Time
+	leaving      bool // a response of the present incarnation said so
 	retired      bool
 }
 
 type oracleAttempt struct {
-	request  Request
-	upstream UpstreamID
+	request     Request
+	upstream    UpstreamID
+	incarnation uint64
 }
 
 const (
@@ -89,7 +91,7 @@
 		o.upstreams[id] = k
 	}
 	if a.Incarnation > k.announcement.Incarnation {
-		k.pausedUntil = time.Time{}
+		k.pausedUntil, k.leaving = time.Time{}, false
 	}
 	k.announcement, k.announcedAt = a, o.now
 }
@@ -137,6 +139,8 @@
 		o.t.Fatalf("sent %s after its deadline", r.ID)
 	case k.announcement.State != Up || k.retired:
 		o.t.Fatalf("request sent to %s in state %v, retired %v", d.Upstream, k.announcement.State, k.retired)
+	case k.leaving:
+		o.t.Fatalf("request sent to %s, which said that it leaves", d.Upstream)
 	case o.now.Before(k.pausedUntil):
 		o.t.Fatalf("request sent to %s before its Retry-After ended", d.Upstream)
 	case len(r.Tried) > 0 && r.Tried[0] == d.Upstream:
@@ -147,7 +151,7 @@
 	}
 	o.table.Start(o.now, d.Upstream)
 	k.inFlight++
-	o.running = append(o.running, oracleAttempt{request: r, upstream: d.Upstream})
+	o.running = append(o.running, oracleAttempt{request: r, upstream: d.Upstream, incarnation: k.announcement.Incarnation})
 	if limit := max(1, k.announcement.MaxConnections/fuzzHosts); k.inFlight > limit {
 		o.t.Fatalf("%d requests in flight at %s, limit of connections %d", k.inFlight, d.Upstream, limit)
 	}
@@ -173,16 +177,20 @@
 	o.running = append(o.running[:i], o.running[i+1:]...)
 	obs := Observation{
 		Outcome:    rapid.SampledFrom([]Outcome{Answered, Answered, Answered, Shed, NotSent, Failed, Failed, TimedOut, Canceled}).Draw(t, "outcome"),
-		HomeRegion: "r0", Suspect: attempt.request.Suspect,
+		HomeRegion: "r0", Suspect: attempt.request.Suspect, Incarnation: attempt.incarnation,
 		Latency: time.Duration(rapid.IntRange(1, 60).Draw(t, "latency")) * time.Millisecond,
 	}
 	k := o.upstreams[attempt.upstream]
 	if obs.Outcome == Shed {
 		obs.RetryAfter = rapid.SampledFrom([]time.Duration{10 * time.Millisecond, 50 * time.Millisecond}).Draw(t, "retry-after")
-		if until := o.now.Add(obs.RetryAfter); until.After(k.pausedUntil) {
+		if until := o.now.Add(obs.RetryAfter); until.After(k.pausedUntil) && attempt.incarnation == k.announcement.Incarnation {
 			k.pausedUntil = until
 		}
 	}
+	obs.Leaving = rapid.IntRange(0, 19).Draw(t, "leaving") == 0
+	if obs.Leaving && attempt.incarnation == k.announcement.Incarnation {
+		k.leaving = true
+	}
 	k.inFlight--
 	o.table.Finish(o.now, attempt.upstream, obs)
 	if obs.Outcome != Answered && obs.Outcome != Canceled {
--- a/core/agateroute/request.go
+++ b/core/agateroute/request.go
@@ -84,8 +84,10 @@
 	Verdict  Verdict
 	Upstream UpstreamID
 	Address  netip.AddrPort
-	Region   string
-	Reason   Reason
+	// Incarnation is that of the chosen upstream, for the Observation of the attempt.
+	Incarnation uint64
+	Region      string
+	Reason      Reason
 	// Considered is the number of upstreams that were compared. Candidates lists
 	// those with the lowest cost among the ones that could take the request, the
 	// chosen one first. Unused elements have an empty ID.
@@ -131,9 +133,14 @@
 	// RTT is the part of Latency spent on the network round trip, as measured
 	// when the connection was opened. Zero means unknown.
 	RTT time.Duration
+	// Incarnation is the one of the Decision that the attempt follows. RetryAfter and
+	// Leaving are statements of that incarnation only.
+	Incarnation uint64
 	// RetryAfter is the time for which the upstream wants no requests from this host,
 	// of any class, or zero. The longest one counts.
 	RetryAfter time.Duration
+	// Leaving reports that the response says that the upstream is about to stop.
+	Leaving bool
 	// Suspect is the value of Request.Suspect.
 	Suspect bool
 	// UpstreamDied reports that the upstream process ended during the attempt.
--- a/core/agateroute/script_test.go
+++ b/core/agateroute/script_test.go
@@ -262,6 +262,7 @@
 	return Observation{
 		Outcome: outcomes[a.str("outcome", "answered")], HomeRegion: a.str("home", ""), Latency: a.duration("latency", 20*time.Millisecond),
 		RetryAfter: a.duration("retry-after", 0), Suspect: a.str("suspect", "") != "", UpstreamDied: a.str("died", "") != "",
+		Leaving: a.str("leaving", "") != "", Incarnation: uint64(a.float("inc", 1)),
 	}
 }
 
--- a/core/agateroute/simhost_test.go
+++ b/core/agateroute/simhost_test.go
@@ -196,7 +196,7 @@
 	h.inFlight[a.upstream.id]--
 	h.releaseConn(a, o)
 	obs := Observation{
-		Outcome: o, HomeRegion: a.request.HomeRegion,
+		Outcome: o, HomeRegion: a.request.HomeRegion, Incarnation: a.upstream.incarnation,
 		Latency: h.sim.now - a.sentAt, Suspect: a.request.Suspect,
 		RTT: 2 * networkLatency(h.location, a.upstream.location),
 	}
--- a/core/agateroute/tick.go
+++ b/core/agateroute/tick.go
@@ -148,7 +148,7 @@
 // updateDrain records the start of a drain, and its end when the last request in
 // flight has finished.
 func (t *Table) updateDrain(now time.Time, u *upstream) {
-	draining := u.announcement.State != Up || u.retired || u.fullyDrained()
+	draining := u.announcement.State != Up || u.leaving || u.retired || u.fullyDrained()
 	switch {
 	case !draining:
 		u.drainSince = time.Time{}
--- a/core/agateroute/upstream.go
+++ b/core/agateroute/upstream.go
@@ -62,6 +62,7 @@
 	failures     int
 	nextProbe    time.Time
 	pausedUntil  time.Time // no new requests before this time, see Observation.RetryAfter
+	leaving      bool      // a response of this incarnation said so
 	retired      bool
 	sameDomain   bool // in the failure domain of this entry host
 	stagedDrains []stagedDrain
@@ -100,9 +101,9 @@
 }
 
 // acceptsWork reports whether the upstream accepts new requests according to its
-// announced state, its lease and the operators' rules, apart from staged drains.
+// announced state, its responses, its lease and the operators' rules, apart from staged drains.
 func (u *upstream) acceptsWork() bool {
-	return u.announcement.State == Up && !u.retired && !u.leaseExpired && !u.fullyDrained()
+	return u.announcement.State == Up && !u.leaving && !u.retired && !u.leaseExpired && !u.fullyDrained()
 }
 
 // fullyDrained reports whether an operator drains the whole upstream.
--- a/io/agatedemo/upstream.go
+++ b/io/agatedemo/upstream.go
@@ -116,6 +116,9 @@
 	}
 	u.inFlight.Add(1)
 	defer u.inFlight.Add(-1)
+	if u.state.Load() == "leaving" {
+		w.Header().Set("Agate-Leaving", "1")
+	}
 	select {
 	case u.slots <- struct{}{}:
 		defer func() { <-u.slots }()
--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -172,7 +172,9 @@
 		HomeRegion:   cl.homeRegion,
 		Latency:      r.Elapsed,
 		RTT:          r.RTT,
+		Incarnation:  d.Incarnation,
 		RetryAfter:   r.RetryAfter,
+		Leaving:      r.Header.Get("Agate-Leaving") == "1",
 		Suspect:      isolated,
 		UpstreamDied: r.UpstreamDied,
 	}
