agatefront: a stopping host takes no requests once callers have had time to leave

Cause: a stopping host closes a connection after the first reply with no request queued behind it, and idle ones after 2.5 s. A caller that sends requests before earlier ones are answered keeps its connection busy up to the end of the stop.

After 2.5 s, in which callers get a list without this host, requests count as not read: the last reply closes the connection, and the caller may send them to another host.

--- a/io/agatefront/conn.go
+++ b/io/agatefront/conn.go
@@ -185,11 +185,11 @@
 	}
 }
 
-// enqueue queues a request. It reports false if the connection is being closed;
-// the request then counts as not read.
+// enqueue queues a request. It reports false if the connection is being closed, or the
+// host no longer takes requests; the request then counts as not read.
 func (c *conn) enqueue(x *exchange) bool {
 	c.mu.Lock()
-	if c.closing {
+	if c.closing || c.f.finishing.Load() {
 		c.mu.Unlock()
 		return false
 	}
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -147,6 +147,7 @@
 	otherLimit   rateLimit    // of all other log lines on requests
 	linksLost    atomic.Bool  // Table.LinksLost, as of the last change
 	stopping     atomic.Bool
+	finishing    atomic.Bool   // the host stops, and takes no further requests
 	shutdown     chan struct{} // closed when a planned stop begins
 
 	conns  conns
@@ -219,7 +220,7 @@
 
 const (
 	// stopAcceptPeriod is how long a stopping host continues to accept
-	// connections. Callers cache the list of entry hosts for some seconds, and
+	// connections and requests. Callers cache the list of entry hosts for some seconds, and
 	// connections that they open in that time must not be refused.
 	stopAcceptPeriod = 2500 * time.Millisecond
 	// stopPollInterval is how often a stopping host checks for remaining
@@ -232,8 +233,8 @@
 )
 
 // Stop shuts the host down gracefully: it notifies the control group and accepts
-// connections for another 2.5 s. Until 300 ms before the deadline of ctx it
-// answers the requests that it has read and closes each connection after its last
+// connections and requests for another 2.5 s. Until 300 ms before the deadline of ctx
+// it answers the requests that it has read and closes each connection after its last
 // response; without a deadline it waits 300 ms. Then, or when ctx is done, it
 // closes what is still open. Calls after the first return at once.
 func (f *Front) Stop(ctx context.Context) {
@@ -245,6 +246,7 @@
 	f.log.Info("stopping", "kind", "stop", "open", f.conns.len(), "running", f.conns.numInFlight())
 	f.wait(ctx, stopAcceptPeriod, func() bool { return false })
 	_ = f.ln.Close() // no new callers
+	f.finishing.Store(true)
 	left := stopReserve
 	if end, ok := ctx.Deadline(); ok {
 		left = max(0, time.Until(end)-stopReserve)
