agatebalance, agatefront: judge the links to each service, and reject at once what they would carry

The verdict on the host's links asks whether any upstream responds, and those of the other service do; they also end the suspicion of the failure domains.

Where connections to several upstreams of a service failed and none of it responded or accepted one for 400 ms, up to four of them are probed, as for the whole host. While none accepts, requests for the service are rejected at once and their connections closed, so that callers try another host; probes every 250 ms find the return.

Without the new probes every request of that time waits or is ejected. The host stays ready: the directory does not know which services a caller wants.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -89,7 +89,7 @@
 	ReasonCold        Reason = "cold"      // none has room; at least one is cold, none is busy
 	ReasonLimited     Reason = "limit"     // none has room; at least one names a limit of which this host's share is used up, none is busy or cold
 	ReasonPaused      Reason = "pause"     // none has room; at least one has asked this host for a pause, none is busy, cold or limited
-	ReasonNoLink      Reason = "no link"   // this host has lost its links to all upstreams
+	ReasonNoLink      Reason = "no link"   // this host has lost its links to all upstreams, or to those of the service
 	ReasonDeadline    Reason = "late"      // no eligible upstream can respond before the deadline
 	ReasonBudget      Reason = "budget"    // the retry budget is exhausted; set by callers of AllowRetry, not by Choose
 )
@@ -169,10 +169,10 @@
 
 // Choose selects an upstream for a request or rejects it.
 func (t *Table) Choose(now time.Time, r *Request) Decision {
-	if t.linksDead(now) {
+	s := t.service(r.Service)
+	if t.linksDead(now) || s.links.lost {
 		return Decision{Reason: ReasonNoLink, RetryAfter: minRetryAfter}
 	}
-	s := t.service(r.Service)
 	x := search{
 		t: t, s: s, r: r, now: now, localBonus: t.localBonus(s), missCost: s.work.missCost(), minBusySeconds: math.Inf(1),
 		targetMultiple: hitTargetMultiple + (missTargetMultiple-hitTargetMultiple)*s.work.missShare(),
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -103,6 +103,7 @@
 func (t *Table) Connected(now time.Time, id string) {
 	t.connected(now)
 	if u := t.upstreams[id]; u != nil {
+		t.service(u.info.Service).alive(now)
 		t.domainHeard(u)
 	}
 }
@@ -119,7 +120,8 @@
 	if u == nil {
 		return c
 	}
-	if !o.heard() && now.Add(-o.Latency).Before(t.links.backAt) {
+	startedAt, s := now.Add(-o.Latency), t.service(u.info.Service)
+	if !o.heard() && (startedAt.Before(t.links.backAt) || startedAt.Before(s.links.backAt)) {
 		o.Outcome, o.Unreachable = Canceled, false // the links failed, and not the upstream
 	}
 	c.Limit = t.recordLimit(now, u, &o)
--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -1,6 +1,7 @@
 package agatebalance
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -38,7 +39,7 @@
 	// silence is the current value between minSilence and maxSilence.
 	silence  time.Duration
 	probedAt time.Time
-	probes   int // number of calls of ProbeTargets
+	probes   int // number of calls of probeTargets
 }
 
 // LinksLost reports whether this host cannot open connections to any upstream.
@@ -55,6 +56,9 @@
 	u.unansweredSince = now
 	t.links.heardAt = now
 	t.links.silence = minSilence
+	s := t.service(u.info.Service)
+	s.alive(now)
+	s.links.silence = minSilence
 	t.domainHeard(u)
 }
 
@@ -107,7 +111,7 @@
 	}
 	usable, unanswered, unconnected := 0, 0, 0
 	for _, u := range t.upstreams {
-		if !u.draining() && !slices.Contains(t.evacuated, u.info.Domain) {
+		if t.takesRequests(u) {
 			usable++
 		}
 		if u.lastFailureAt.After(l.heardAt) || u.inFlight > 0 && now.Sub(u.unansweredSince) >= l.silence {
@@ -121,6 +125,11 @@
 	return usable >= 2 && (silent && unanswered >= enough || refused && unconnected >= enough)
 }
 
+// takesRequests reports whether an upstream is neither draining nor evacuated.
+func (t *Table) takesRequests(u *upstream) bool {
+	return !u.draining() && !slices.Contains(t.evacuated, u.info.Domain)
+}
+
 // HeardSince reports whether an upstream has responded, or accepted a connection,
 // after a time.
 func (t *Table) HeardSince(at time.Time) bool {
@@ -137,20 +146,25 @@
 // and others of different failure domains, if there are that many, which change with
 // each call.
 func (t *Table) ProbeTargets() []UpstreamInfo {
+	return t.probeTargets(slices.Collect(maps.Values(t.upstreams)))
+}
+
+// probeTargets is ProbeTargets for some of the upstreams.
+func (t *Table) probeTargets(upstreams []*upstream) []UpstreamInfo {
 	t.links.probes++
 	var out []UpstreamInfo
-	if u := t.lastAnswered(); u != nil {
+	if u := lastAnswered(upstreams); u != nil {
 		out = append(out, u.info)
 	}
-	for len(out) < min(maxLinkProbes, len(t.upstreams)) {
-		out = append(out, t.nextProbeTarget(out).info)
+	for len(out) < min(maxLinkProbes, len(upstreams)) {
+		out = append(out, t.nextProbeTarget(upstreams, out).info)
 	}
 	return out
 }
 
 // lastAnswered returns the upstream that responded last, or nil.
-func (t *Table) lastAnswered() (last *upstream) {
-	for _, u := range t.upstreams {
+func lastAnswered(upstreams []*upstream) (last *upstream) {
+	for _, u := range upstreams {
 		if !u.lastAnsweredAt.IsZero() && (last == nil || u.lastAnsweredAt.After(last.lastAnsweredAt)) {
 			last = u
 		}
@@ -160,9 +174,9 @@
 
 // nextProbeTarget returns an upstream that is not among the chosen ones, if possible
 // of a failure domain of which none is.
-func (t *Table) nextProbeTarget(chosen []UpstreamInfo) (next *upstream) {
+func (t *Table) nextProbeTarget(upstreams []*upstream, chosen []UpstreamInfo) (next *upstream) {
 	best := math.Inf(1)
-	for _, u := range t.upstreams {
+	for _, u := range upstreams {
 		if slices.ContainsFunc(chosen, func(c UpstreamInfo) bool { return c.ID == u.info.ID }) {
 			continue
 		}
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -192,6 +192,7 @@
 	retryBudget     bucket
 	hedging         hedging
 	scarceAt        time.Time // when a request or a retry was last rejected
+	links           serviceLinks
 	overflow        overflow
 	homes           homeShares
 	// disruptedAt is when an upstream was last removed, began to drain, expired,
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -200,7 +200,8 @@
 	f.control.f = f
 	f.wg.Go(f.control.run)
 	f.wg.Go(f.accept)
-	f.wg.Go(f.watchLinks)
+	f.wg.Go(func() { f.watch(linkCheckInterval, f.checkLinks) })
+	f.wg.Go(func() { f.watch(linkCheckInterval, f.checkServices) })
 	f.log.Info("started", "kind", "start", "region", cfg.Region, "domain", cfg.Domain, "listen", cfg.Listen)
 	return f, nil
 }
--- a/io/agatefront/links.go
+++ b/io/agatefront/links.go
@@ -26,21 +26,22 @@
 	crashCheckInterval = 10 * time.Millisecond
 )
 
-// watchLinks probes upstreams while none responds, until the host stops. Probes are
-// connections that later requests use.
-func (f *Front) watchLinks() {
-	tick := time.NewTicker(linkCheckInterval)
+// watch calls check at an interval until the host stops.
+func (f *Front) watch(interval time.Duration, check func()) {
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-f.ctx.Done():
 			return
 		case <-tick.C:
-			f.checkLinks()
+			check()
 		}
 	}
 }
 
+// checkLinks probes upstreams while none responds. Probes are connections that later
+// requests use.
 func (f *Front) checkLinks() {
 	f.mu.Lock()
 	targets := f.table.LinkProbes(time.Now())
@@ -67,6 +68,33 @@
 	}
 }
 
+// checkServices probes the upstreams of services that can't be connected to.
+func (f *Front) checkServices() {
+	f.mu.Lock()
+	probes := f.table.ServiceProbes(time.Now())
+	f.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, p := range probes {
+		wg.Go(func() { f.checkService(p) })
+	}
+	wg.Wait()
+}
+
+func (f *Front) checkService(p agatebalance.ServiceProbe) {
+	start := time.Now()
+	reference := make(chan bool, 1)
+	go func() { reference <- f.reachesReplica() }()
+	reached := f.probe(p.Targets)
+	saturated := !<-reference
+	f.mu.Lock()
+	changed := f.table.RecordServiceProbe(time.Now(), p.Service, reached, saturated)
+	f.mu.Unlock()
+	if changed {
+		f.log.Info("service links checked", "kind", "links", "service", p.Service, "lost", reached == 0, "probes", len(p.Targets),
+			"reached", reached, "saturated", saturated, "took", time.Since(start).Round(time.Millisecond))
+	}
+}
+
 // formatAge formats the time since an event for the log, or "never".
 func formatAge(at time.Time) string {
 	if at.IsZero() {
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -232,7 +232,7 @@
 // attempted again. A host without links sends the caller to another one.
 func (p *proxyRequest) giveUp(d agatebalance.Decision) reply {
 	r := p.failure(d)
-	r.preferOtherHost = p.f.linksLost.Load()
+	r.preferOtherHost = p.f.linksLost.Load() || d.Reason == agatebalance.ReasonNoLink
 	return r
 }
 
