agatefront: a stopping host gives upstreams no more time than it has itself

Cause: the upstream got the time of the caller and the route, 4 s, and the host had 2.5 s left. It closed what was open 1.1 s before the end of the grace period.

A request that a stopping host reads ends before the host does: one that is expected to take longer is rejected at once, and an upstream stops or sheds it in time for its answer to be passed on. 150 ms instead of 300 ms before the process exits are kept for closing connections. TestSystem/stop-late failed before (no answer) and passes now.

--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -147,8 +147,10 @@
 	otherLimit   rateLimit    // of all other log lines on requests
 	linksLost    atomic.Bool  // Table.LinksLost, as of the last change
 	stopping     atomic.Bool
-	finishing    atomic.Bool   // the host stops, and takes no further requests
-	shutdown     chan struct{} // closed when a planned stop begins
+	finishing    atomic.Bool // the host stops, and takes no further requests
+	// stopEnd is when a stopping host closes what is still open, if that is known.
+	stopEnd  atomic.Pointer[time.Time]
+	shutdown chan struct{} // closed when a planned stop begins
 
 	conns  conns
 	ctx    context.Context
@@ -230,27 +232,31 @@
 	// stopReserve is the part of a planned stop's time that is reserved for
 	// closing what is still open. Without a deadline, requests in progress get
 	// this time to end.
-	stopReserve = 300 * time.Millisecond
+	stopReserve = 150 * time.Millisecond
 )
 
 // Stop shuts the host down gracefully: it notifies the control group and accepts
-// connections and requests for another 2.5 s. Until 300 ms before the deadline of ctx
+// connections and requests for another 2.5 s. Until 150 ms before the deadline of ctx
 // it answers the requests that it has read and closes each connection after its last
-// response; without a deadline it waits 300 ms. Then, or when ctx is done, it
+// response; without a deadline it waits 150 ms. Then, or when ctx is done, it
 // closes what is still open. Calls after the first return at once.
 func (f *Front) Stop(ctx context.Context) {
 	start := time.Now()
 	if f.stopping.Swap(true) {
 		return
 	}
+	if end, ok := ctx.Deadline(); ok {
+		end = end.Add(-stopReserve)
+		f.stopEnd.Store(&end)
+	}
 	close(f.shutdown)
 	f.log.Info("stopping", "kind", "stop", "open", f.conns.len(), "running", f.conns.numInFlight())
 	f.wait(ctx, stopAcceptPeriod, func() bool { return false })
 	_ = f.ln.Close() // no new callers
 	f.finishing.Store(true)
 	left := stopReserve
-	if end, ok := ctx.Deadline(); ok {
-		left = max(0, time.Until(end)-stopReserve)
+	if end := f.stopEnd.Load(); end != nil {
+		left = max(0, time.Until(*end))
 	}
 	f.wait(ctx, left, func() bool { return f.conns.numInFlight() == 0 && f.conns.closeIdle() == 0 })
 	f.log.Info("stopped", "kind", "stop", "open", f.conns.len(), "running", f.conns.numInFlight(), "took", time.Since(start))
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -173,7 +173,8 @@
 
 // setCriteria sets the deadline of the request, its id and its affinity key. The
 // request times out after the shorter of the caller's deadline and the route's
-// timeout, or after defaultTimeout if neither is set, counted from its receipt.
+// timeout, or after defaultTimeout if neither is set, counted from its receipt, and at
+// the end of a planned stop.
 func (p *proxyRequest) setCriteria() {
 	left := time.Duration(0)
 	if ms, err := strconv.ParseFloat(p.x.req.Header.Get(p.f.headers.Deadline), 64); err == nil && ms >= 0 && ms < maxDeadlineMs {
@@ -192,6 +193,11 @@
 	}
 	p.deadline = p.x.received.Add(left)
 	p.workDeadline = p.x.received.Add(workTime)
+	if end := p.f.stopEnd.Load(); end != nil {
+		// The response must be back before the host closes the connection.
+		p.deadline = earlier(p.deadline, *end)
+		p.workDeadline = earlier(p.workDeadline, end.Add(-responseGrace))
+	}
 	p.criteria.ID = p.id
 	p.criteria.Deadline = p.workDeadline
 	if key := p.x.req.Header.Get(p.f.headers.AffinityKey); key != "" && p.route.Sticky {
@@ -199,6 +205,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // choose selects an upstream by the load-balancing table and records there that the
 // request is sent to it. The first call for a request records the request as well.
 func (p *proxyRequest) choose(first bool) agatebalance.Decision {
