agatebalance: callers that wait for the end of a pause are not spread beyond a second

The time to come back was spread over twice its length, which for a pause of seconds is longer than needed to keep callers apart. TestPauseIsKept checks the upper bound. Comments and a constant's name for readers.

--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -526,7 +526,7 @@
 		d.RetryAfter = max(minRetryAfter, x.pauseLeft()) // an earlier return would be in vain
 	}
 	// Jitter, so that callers rejected together do not retry together.
-	d.RetryAfter += time.Duration(hashScore(x.r.ID, "") * float64(d.RetryAfter))
+	d.RetryAfter += time.Duration(hashScore(x.r.ID, "") * float64(min(d.RetryAfter, maxRetryAfter)))
 	return d
 }
 
--- a/core/agatebalance/estimate.go
+++ b/core/agatebalance/estimate.go
@@ -41,8 +41,8 @@
 	numWorkClasses
 )
 
-// Basis describes how the latency of a request was estimated. Choose returns it
-// with a Decision, and Finish compares it with the result.
+// Basis describes the process for which a request was chosen, and how its latency was
+// estimated. Choose returns it with a Decision, and Finish compares it with the result.
 type Basis struct {
 	startedAtMs int64 // of the chosen upstream's process
 	affinityKey uint64
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -114,7 +114,8 @@
 	Leaving bool // it is about to stop, which was not known
 }
 
-// Finish records the end of an attempt.
+// Finish records the end of an attempt. What an upstream says of itself in a response
+// counts only for the process to which the request was sent.
 func (t *Table) Finish(now time.Time, id string, o Observation) (c Changes) {
 	u := t.upstreams[id]
 	if u == nil {
--- a/core/agatebalance/pause_test.go
+++ b/core/agatebalance/pause_test.go
@@ -32,6 +32,7 @@
 		d := choose(table, at(after), nil)
 		assert.Equal(t, d.Reason, agatebalance.ReasonPaused, "after %v", after)
 		assert.Check(t, d.RetryAfter >= 3*time.Second-after, "to come back after %v is in vain", d.RetryAfter)
+		assert.Check(t, d.RetryAfter <= 4*time.Second-after, "room is there before %v", d.RetryAfter)
 		assert.Check(t, !table.MaySend(at(after), "u1"))
 		assert.Check(t, !table.AllowHedge(at(after), "u1"))
 	}
--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -20,6 +20,9 @@
 	minSilenceTimeout = 200 * time.Millisecond
 )
 
+// headerLeaving is "1" in the responses of an upstream that is about to stop.
+const headerLeaving = "Agate-Leaving"
+
 // attempt is one attempt of a call at one upstream.
 type attempt struct {
 	decision    agateroute.Decision
@@ -174,7 +177,7 @@
 		RTT:          r.RTT,
 		Incarnation:  d.Incarnation,
 		RetryAfter:   r.RetryAfter,
-		Leaving:      r.Header.Get("Agate-Leaving") == "1",
+		Leaving:      r.Header.Get(headerLeaving) == "1",
 		Suspect:      isolated,
 		UpstreamDied: r.UpstreamDied,
 	}
