agatefront: a stopping host closes idle connections when it takes no more requests

Cause: idle connections were closed only once no request was in progress on any connection.

TestSystem/stop-idle failed before and passes now: idle connections are closed as soon as no more requests are taken.

--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -258,7 +258,7 @@
 	if end := f.stopEnd.Load(); end != nil {
 		left = max(0, time.Until(*end))
 	}
-	f.wait(ctx, left, func() bool { return f.conns.numInFlight() == 0 && f.conns.closeIdle() == 0 })
+	f.wait(ctx, left, func() bool { return f.conns.closeIdle() == 0 })
 	f.log.Info("stopped", "kind", "stop", "open", f.conns.len(), "running", f.conns.numInFlight(), "took", time.Since(start))
 	f.abort()
 }
