agatebalance: a host that has lost its links to each service has lost its links

The verdict on the last service is now the one on the host. TestLinksToAllServicesAreLinksOfHost failed before and passes now.

--- a/core/agatebalance/links.go
+++ b/core/agatebalance/links.go
@@ -203,7 +203,12 @@
 	case saturated:
 		l.silence = min(maxSilence, 2*max(minSilence, l.silence))
 	case !l.lost && !l.connectedAt.After(l.probedAt):
-		l.lost = true
-		l.suspectAt = now.Add(-maxSilence)
+		t.lose(now)
 	}
 }
+
+// lose records that no upstream accepts a new connection.
+func (t *Table) lose(now time.Time) {
+	t.links.lost = true
+	t.links.suspectAt = now.Add(-maxSilence)
+}
--- a/core/agatebalance/servicelinks.go
+++ b/core/agatebalance/servicelinks.go
@@ -67,8 +67,9 @@
 }
 
 // RecordServiceProbe records how many upstreams of a ServiceProbe accepted a
-// connection. The links are lost if none did, unless the host is saturated. It reports
-// whether that changed.
+// connection. The links are lost if none did, unless the host is saturated, and those
+// to all upstreams are lost with the links to the last service. It reports whether that
+// changed.
 func (t *Table) RecordServiceProbe(now time.Time, name string, reached int, saturated bool) (changed bool) {
 	s := t.service(name)
 	l := &s.links
@@ -81,11 +82,24 @@
 	case !l.lost && !l.aliveAt.After(l.probedAt):
 		l.lost = true
 		l.suspectAt = now.Add(-maxSilence)
+		if t.allServicesLost() {
+			t.lose(now)
+		}
 		return true
 	}
 	return changed
 }
 
+// allServicesLost reports whether the links to each service with upstreams are lost.
+func (t *Table) allServicesLost() bool {
+	for _, s := range t.services {
+		if len(s.upstreams) > 0 && !s.links.lost {
+			return false
+		}
+	}
+	return true
+}
+
 // alive records that an upstream of the service responded or accepted a connection. If
 // the links were lost, they are back, which it reports, and the failures are discarded
 // that were attributed to upstreams meanwhile.
--- a/core/agatebalance/servicelinks_test.go
+++ b/core/agatebalance/servicelinks_test.go
@@ -115,3 +115,38 @@
 		})
 	}
 }
+
+// Guards against a host that rejects the requests of each service for lost links and
+// still says that it is ready.
+func TestLinksToAllServicesAreLinksOfHost(t *testing.T) {
+	table, now := newTable(), time.Unix(1000, 0)
+	var infos []agatebalance.UpstreamInfo
+	for _, service := range []string{"s", "other"} {
+		for i := range 3 {
+			info := newInfo(fmt.Sprintf("%s-%d", service, i))
+			info.Service = service
+			infos = append(infos, info)
+		}
+	}
+	table.UpdateUpstreams(now, infos, true, nil)
+	lose := func(service string) {
+		for _, info := range infos {
+			if info.Service == service {
+				table.Start(now, info.ID)
+				table.Finish(now, info.ID, agatebalance.Observation{Outcome: agatebalance.NotSent})
+			}
+		}
+		now = now.Add(time.Second)
+		changed := map[string]bool{}
+		for _, p := range table.ServiceProbes(now) {
+			changed[p.Service] = table.RecordServiceProbe(now, p.Service, 0, false)
+		}
+		assert.Assert(t, changed[service])
+	}
+	lose("s")
+	assert.Assert(t, !table.LinksLost())
+	lose("other")
+	assert.Assert(t, table.LinksLost())
+	table.Connected(now, "s-1")
+	assert.Assert(t, !table.LinksLost())
+}
--- a/io/agatefront/links.go
+++ b/io/agatefront/links.go
@@ -88,7 +88,11 @@
 	saturated := !<-reference
 	f.mu.Lock()
 	changed := f.table.RecordServiceProbe(time.Now(), p.Service, reached, saturated)
+	linksChanged := f.updateLinksLost()
 	f.mu.Unlock()
+	if linksChanged {
+		f.control.requestHeartbeats()
+	}
 	if changed {
 		f.log.Info("service links checked", "kind", "links", "service", p.Service, "lost", reached == 0, "probes", len(p.Targets),
 			"reached", reached, "saturated", saturated, "took", time.Since(start).Round(time.Millisecond))
