agateplan: routes of the kind download

Such requests are idempotent: they are retried, copied and forwarded like those of the kind safe. The list of kinds in a test's expected problem grows with it. TestDocuments/whole and TestPlanErrors/download fail without the change.

--- a/core/agateplan/parse.go
+++ b/core/agateplan/parse.go
@@ -131,12 +131,10 @@
 		Sticky:      t.Sticky,
 		Regions:     t.Regions,
 	}
-	switch t.Kind {
-	case "", Unsafe.String():
-	case Safe.String():
-		r.Kind = Safe
-	default:
-		t.At.Report("kind", "must be safe or unsafe, not %q", t.Kind)
+	if kind, ok := ParseKind(t.Kind); ok {
+		r.Kind = kind
+	} else if t.Kind != "" {
+		t.At.Report("kind", "must be safe, unsafe or download, not %q", t.Kind)
 	}
 	if !strings.HasSuffix(t.Prefix, "/") {
 		t.At.Report("prefix", "must end with a slash; requests match whole path segments")
--- a/core/agateplan/plan.go
+++ b/core/agateplan/plan.go
@@ -17,6 +17,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -31,16 +32,31 @@
 	Unsafe Kind = iota
 	// Safe requests may be executed more than once.
 	Safe
+	// Download requests may be executed more than once and have large responses.
+	Download
 )
 
-// String returns "unsafe" or "safe".
+// kindNames are the names of the kinds in plans.
+var kindNames = [...]string{Unsafe: "unsafe", Safe: "safe", Download: "download"}
+
+// String returns the name of the kind in plans. A kind that this build does not know
+// is unsafe.
 func (k Kind) String() string {
-	if k == Safe {
-		return "safe"
+	if int(k) < len(kindNames) {
+		return kindNames[k]
 	}
-	return "unsafe"
+	return kindNames[Unsafe]
+}
+
+// ParseKind returns the kind of a name, or false if there is none.
+func ParseKind(name string) (Kind, bool) {
+	i := slices.Index(kindNames[:], name)
+	return Kind(max(0, i)), i >= 0
 }
 
+// Idempotent reports whether requests may be executed more than once.
+func (k Kind) Idempotent() bool { return k == Safe || k == Download }
+
 // Plan is one version of the routing configuration.
 type Plan struct {
 	// Version increases with each plan, by any step that the operator chooses.
--- a/io/agatefront/detour.go
+++ b/io/agatefront/detour.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"agategate/core/agateplan"
 )
 
 // The ways of a request, of which it takes one only: the claims of attempt.way.
@@ -183,7 +182,7 @@
 
 // add adds an attempt if its request is safe and came from a caller.
 func (w *waiting) add(a *attempt) {
-	if a.p.route.Kind != agateplan.Safe || a.isCopy || a.p.c.peer {
+	if !a.p.route.Kind.Idempotent() || a.isCopy || a.p.c.peer {
 		return
 	}
 	w.mu.Lock()
--- a/io/agatefront/forward.go
+++ b/io/agatefront/forward.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"agategate/core/agatepeer"
-	"agategate/core/agateplan"
 	"agategate/io/agatemetrics"
 	"agategate/io/agateupstream"
 )
@@ -100,7 +99,7 @@
 			out.written++
 			tries++
 			ran = true
-			if ctx.Err() != nil || p.route.Kind != agateplan.Safe || tries >= p.route.MaxAttempts || !p.allowRetry(time.Now()) {
+			if ctx.Err() != nil || !p.route.Kind.Idempotent() || tries >= p.route.MaxAttempts || !p.allowRetry(time.Now()) {
 				return out
 			}
 		case ctx.Err() != nil:
@@ -130,7 +129,7 @@
 		Path:        p.path,
 		Header:      h,
 		Body:        p.x.body,
-		Action:      p.route.Kind == agateplan.Unsafe,
+		Action:      !p.route.Kind.Idempotent(),
 		Deadline:    p.workDeadline,
 		Grace:       peerGrace,
 		BeforeWrite: func() bool { return p.c.ctx.Err() == nil },
@@ -185,7 +184,7 @@
 	if p.c.peer {
 		return reply{}, false
 	}
-	if p.route.Kind == agateplan.Unsafe {
+	if !p.route.Kind.Idempotent() {
 		// It must not be written to a connection that may have fallen silent.
 		p.awaitSuspicion(p.c.ctx)
 	}
--- a/io/agatefront/hedge.go
+++ b/io/agatefront/hedge.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"agategate/core/agatebalance"
-	"agategate/core/agateplan"
 	"agategate/io/agatemetrics"
 	"agategate/io/agateupstream"
 )
@@ -87,7 +86,7 @@
 // hedgeDelay returns the delay after which a copy may be sent, or false if the request
 // must not be sent twice.
 func (p *proxyRequest) hedgeDelay(d *agatebalance.Decision) (time.Duration, bool) {
-	if p.route.Kind != agateplan.Safe {
+	if !p.route.Kind.Idempotent() {
 		return 0, false
 	}
 	p.f.mu.Lock()
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -11,7 +11,6 @@
 
 	"agategate/core/agatebalance"
 	"agategate/core/agatelimit"
-	"agategate/core/agateplan"
 	"agategate/io/agatelog"
 	"agategate/io/agatemetrics"
 )
@@ -128,7 +127,7 @@
 		Request:        strings.Clone(p.id), // does not keep the whole header in memory
 		Service:        p.criteria.Service,
 		Kind:           agatelog.Route,
-		Action:         p.route != nil && p.route.Kind == agateplan.Unsafe,
+		Action:         p.route != nil && !p.route.Kind.Idempotent(),
 		Choice:         cmp.Or(p.via, p.lastDecision.Upstream),
 		CandidateCount: p.lastDecision.Considered,
 		Outcome:        p.outcome(r),
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -154,7 +154,7 @@
 		return reply{status: http.StatusBadRequest, reason: "request has no id"}
 	}
 	p.setCriteria()
-	if p.route.Kind == agateplan.Unsafe && !p.waitForPrevious() {
+	if !p.route.Kind.Idempotent() && !p.waitForPrevious() {
 		return reply{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "caller left", close: true}
 	}
 	p.fingerprint = agatesuspect.NewFingerprint("", p.x.req.Method, p.path, "", p.x.body)
@@ -301,7 +301,7 @@
 // failure returns the reply to a request that ends without a success.
 func (p *proxyRequest) failure(d agatebalance.Decision) reply {
 	switch {
-	case p.lastFailure != nil && (p.mayHaveRun || p.route.Kind == agateplan.Safe):
+	case p.lastFailure != nil && (p.mayHaveRun || p.route.Kind.Idempotent()):
 		return *p.lastFailure
 	case p.mayHaveRun && !time.Now().Before(p.deadline):
 		return reply{status: http.StatusGatewayTimeout, reason: reasonTimeout}
@@ -330,7 +330,7 @@
 // the caller disconnects, unless the request is unsafe: after it is sent,
 // cancelling it would only lose its response.
 func (p *proxyRequest) context() context.Context {
-	if p.route.Kind == agateplan.Safe {
+	if p.route.Kind.Idempotent() {
 		return p.c.ctx
 	}
 	return p.f.ctx
@@ -349,7 +349,7 @@
 		Path:     p.path,
 		Header:   h,
 		Body:     p.x.body,
-		Action:   p.route.Kind == agateplan.Unsafe,
+		Action:   !p.route.Kind.Idempotent(),
 		Deadline: p.workDeadline,
 		Grace:    responseGrace,
 	}
@@ -395,7 +395,7 @@
 	if res.Status < 500 && !meansNotRun(res.Status) {
 		return r, true
 	}
-	if p.route.Kind == agateplan.Unsafe {
+	if !p.route.Kind.Idempotent() {
 		if meansNotRun(res.Status) {
 			// Without the upstream's statement that it did not run the request,
 			// the caller must not receive a status that implies it.
@@ -424,7 +424,7 @@
 	switch {
 	case p.c.ctx.Err() != nil:
 		return reply{status: http.StatusBadGateway, reason: "caller left", close: true}, true
-	case p.mayHaveRun && p.route.Kind == agateplan.Unsafe:
+	case p.mayHaveRun && !p.route.Kind.Idempotent():
 		if !now.Before(p.deadline) {
 			return reply{status: http.StatusGatewayTimeout, reason: reasonTimeout}, true
 		}
