agateplan, agatefront: workspaces with keys and regions

A plan now lists workspaces; the entry host that takes a request looks its key up for each attempt, replies 401 before it reads a body, names the workspace to the upstream and to a host that carries the request, and keeps the key. Both the route's and the workspace's regions bind. Plans without workspaces keep their encoding, and their requests all headers.

--- a/core/agatebalance/candidate.go
+++ b/core/agatebalance/candidate.go
@@ -26,7 +26,7 @@
 
 // usable reports whether an upstream may get the request, unless it has been tried.
 func (x *search) usable(u *upstream) bool {
-	return !u.draining() && !slices.Contains(x.t.evacuated, u.info.Domain) && x.r.Route.AllowsRegion(u.region)
+	return !u.draining() && !slices.Contains(x.t.evacuated, u.info.Domain) && x.r.Route.AllowsRegion(u.region) && x.r.Workspace.AllowsRegion(u.region)
 }
 
 // collectCandidates collects the usable upstreams that have not been tried, sorted
--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -62,6 +62,8 @@
 	ID      string // seeds the jitter of Decision.RetryAfter
 	Service string
 	Route   *agateplan.Route // must not be nil
+	// Workspace is that of the request's key. It is nil if the request needs none.
+	Workspace *agateplan.Workspace
 	// AffinityKey is a hash of the object that the request is about. Zero means
 	// that the request has no object.
 	AffinityKey uint64
--- a/core/agateplan/format.go
+++ b/core/agateplan/format.go
@@ -15,6 +15,17 @@
 	Limits  *limitsText   `toml:"limits,omitempty"`
 	Service []serviceText `toml:"service,omitempty"`
 	Host    []hostText    `toml:"host,omitempty"`
+
+	Workspace []workspaceText `toml:"workspace,omitempty"`
+}
+
+type workspaceText struct {
+	Name     string   `toml:"name"`
+	Keys     []string `toml:"keys,omitempty"`
+	Priority int      `toml:"priority,omitempty"`
+	Rate     float64  `toml:"rate,omitempty"`
+	Burst    float64  `toml:"burst,omitempty"`
+	Regions  []string `toml:"regions,omitempty"`
 }
 
 type limitsText struct {
@@ -46,6 +57,7 @@
 	Priority int        `toml:"priority"`
 	Attempts int        `toml:"attempts"`
 	Sticky   bool       `toml:"sticky,omitempty"`
+	Public   bool       `toml:"public,omitempty"`
 	Regions  []string   `toml:"regions,omitempty"`
 	Part     []partText `toml:"part,omitempty"`
 }
@@ -75,6 +87,9 @@
 		}
 		text.Host = append(text.Host, h)
 	}
+	for i := range p.Workspaces {
+		text.Workspace = append(text.Workspace, workspaceText(p.Workspaces[i]))
+	}
 	var buf bytes.Buffer
 	if err := toml.NewEncoder(&buf).Encode(text); err != nil {
 		return nil, fmt.Errorf("agateplan: format: %w", err)
@@ -93,6 +108,7 @@
 		Attempts: r.MaxAttempts,
 		Sticky:   r.Sticky,
 		Regions:  r.Regions,
+		Public:   r.Public,
 	}
 	for _, part := range r.Services {
 		t.Part = append(t.Part, partText(part))
--- a/core/agateplan/index.go
+++ b/core/agateplan/index.go
@@ -11,6 +11,8 @@
 	Plan     *Plan
 	hosts    map[string]map[string]*Route // by lower-case host name, then by path prefix
 	services map[string]*Service
+	keys     *keyIndex             // nil if the plan has no workspaces
+	spaces   map[string]*Workspace // workspaces by name
 }
 
 // NewIndex returns an index of p, which must not be modified afterwards. Virtual
@@ -31,9 +33,31 @@
 	for i := range p.Services {
 		x.services[p.Services[i].Name] = &p.Services[i]
 	}
+	if len(p.Workspaces) > 0 {
+		x.keys = newKeyIndex(p.Workspaces)
+		x.spaces = make(map[string]*Workspace, len(p.Workspaces))
+		for i := range p.Workspaces {
+			x.spaces[p.Workspaces[i].Name] = &p.Workspaces[i]
+		}
+	}
 	return x
 }
 
+// HasWorkspaces reports whether requests need a key, unless their route is public.
+func (x *Index) HasWorkspaces() bool { return x.keys != nil }
+
+// WorkspaceByKey returns the workspace that holds a key, or nil. How long it takes does
+// not depend on the keys of the plan.
+func (x *Index) WorkspaceByKey(key string) *Workspace {
+	if x.keys == nil {
+		return nil
+	}
+	return x.keys.find(key)
+}
+
+// Workspace returns the workspace of that name, or nil.
+func (x *Index) Workspace(name string) *Workspace { return x.spaces[name] }
+
 // Match returns the route of a virtual host with the longest prefix of the path,
 // or nil. The host may include a port. The path is the escaped path as sent,
 // without the query.
--- a/core/agateplan/parse.go
+++ b/core/agateplan/parse.go
@@ -18,6 +18,18 @@
 	Limits  limitsTable    `toml:"limits"`
 	Service []serviceTable `toml:"service"`
 	Host    []hostTable    `toml:"host"`
+
+	Workspace []workspaceTable `toml:"workspace"`
+}
+
+type workspaceTable struct {
+	At       agatestrict.Location
+	Name     string   `toml:"name,required"`
+	Keys     []string `toml:"keys"`
+	Priority int      `toml:"priority" min:"0"`
+	Rate     float64  `toml:"rate" min:"0"`  // requests per second over all entry hosts
+	Burst    float64  `toml:"burst" min:"0"` // requests
+	Regions  []string `toml:"regions"`
 }
 
 type limitsTable struct {
@@ -53,6 +65,7 @@
 	Priority int           `toml:"priority" min:"0"`
 	Attempts int           `toml:"attempts" min:"1"`
 	Sticky   bool          `toml:"sticky"`
+	Public   bool          `toml:"public"`
 	Regions  []string      `toml:"regions"`
 	Part     []partTable   `toml:"part,required"`
 }
@@ -95,6 +108,8 @@
 		place = t.Host[at.host].At
 	case at.service >= 0:
 		place = t.Service[at.service].At
+	case at.workspace >= 0:
+		place = t.Workspace[at.workspace].At
 	}
 	place.Report(at.key, "%s", text)
 }
@@ -117,6 +132,12 @@
 		}
 		p.VirtualHosts = append(p.VirtualHosts, h)
 	}
+	for i := range t.Workspace {
+		w := &t.Workspace[i]
+		p.Workspaces = append(p.Workspaces, Workspace{
+			Name: w.Name, Keys: w.Keys, Priority: w.Priority, Rate: w.Rate, Burst: w.Burst, Regions: w.Regions,
+		})
+	}
 	return p
 }
 
@@ -130,6 +151,7 @@
 		MaxAttempts: max(1, t.Attempts),
 		Sticky:      t.Sticky,
 		Regions:     t.Regions,
+		Public:      t.Public,
 	}
 	if kind, ok := ParseKind(t.Kind); ok {
 		r.Kind = kind
--- a/core/agateplan/plan.go
+++ b/core/agateplan/plan.go
@@ -64,6 +64,9 @@
 	Services     []Service     `cbor:"2,keyasint"`
 	VirtualHosts []VirtualHost `cbor:"3,keyasint"`
 	Limits       Limits        `cbor:"4,keyasint"`
+	// Workspaces are the tenants whose keys requests must carry, unless their route is
+	// public. If there are none, requests need no key.
+	Workspaces []Workspace `cbor:"5,keyasint,omitempty"`
 }
 
 // Service is a service and the settings shared by its upstreams.
@@ -111,6 +114,8 @@
 	// Regions are the regions in which requests may be processed. Empty means
 	// all.
 	Regions []string `cbor:"10,keyasint"`
+	// Public routes need no key of a workspace.
+	Public bool `cbor:"11,keyasint,omitempty"`
 }
 
 // WeightedService is a service with its share of a route's requests.
@@ -138,42 +143,43 @@
 	return errors.Join(problems...)
 }
 
-// position locates a problem: the plan itself, a service, a virtual host or a
-// route of a virtual host, by index, and the key. Indexes that do not apply are
+// position locates a problem: the plan itself, a service, a virtual host, a route of
+// a virtual host or a workspace, by index, and the key. Indexes that do not apply are
 // -1.
 type position struct {
-	service, host, route int
-	key                  string
+	service, host, route, workspace int
+	key                             string
 }
 
 func (p *Plan) check(report func(at position, text string)) {
 	if p.Version == 0 {
-		report(position{-1, -1, -1, "version"}, "version must be above 0")
+		report(position{-1, -1, -1, -1, "version"}, "version must be above 0")
 	}
 	services := map[string]bool{}
 	for i := range p.Services {
 		s := &p.Services[i]
 		switch {
 		case s.Name == "":
-			report(position{i, -1, -1, "name"}, fmt.Sprintf("service %d has no name", i))
+			report(position{i, -1, -1, -1, "name"}, fmt.Sprintf("service %d has no name", i))
 		case services[s.Name]:
-			report(position{i, -1, -1, "name"}, fmt.Sprintf("service %q is listed twice", s.Name))
+			report(position{i, -1, -1, -1, "name"}, fmt.Sprintf("service %q is listed twice", s.Name))
 		}
 		services[s.Name] = true
 	}
 	for i := range p.VirtualHosts {
 		h := &p.VirtualHosts[i]
 		if h.Name == "" {
-			report(position{-1, i, -1, "name"}, fmt.Sprintf("host %d has no name", i))
+			report(position{-1, i, -1, -1, "name"}, fmt.Sprintf("host %d has no name", i))
 		}
 		for j := range h.Routes {
 			r := &h.Routes[j]
 			r.check(services, func(key, format string, args ...any) {
 				text := fmt.Sprintf("route %q of host %q: ", r.Name, h.Name) + fmt.Sprintf(format, args...)
-				report(position{-1, i, j, key}, text)
+				report(position{-1, i, j, -1, key}, text)
 			})
 		}
 	}
+	p.checkWorkspaces(func(i int, key, text string) { report(position{-1, -1, -1, i, key}, text) })
 }
 
 func (r *Route) check(services map[string]bool, report func(key, format string, args ...any)) {
@@ -231,15 +237,7 @@
 
 // AllowsRegion reports whether requests of the route may be processed in a region.
 func (r *Route) AllowsRegion(region string) bool {
-	if len(r.Regions) == 0 {
-		return true
-	}
-	for _, name := range r.Regions {
-		if name == region {
-			return true
-		}
-	}
-	return false
+	return allowsRegion(r.Regions, region)
 }
 
 // RoutesTo reports whether the route sends any requests to a service.
--- a/core/agateplan/script_test.go
+++ b/core/agateplan/script_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"agategate/core/agateplan"
@@ -141,3 +142,42 @@
 	_, err = agateplan.DecodeDocument(b[:len(b)-1])
 	assert.ErrorContains(t, err, "agateplan: decode")
 }
+
+// Guards against plans without workspaces that earlier builds would read differently:
+// they have none of the keys that were added for workspaces.
+func TestPlansWithoutWorkspacesKeepTheirEncoding(t *testing.T) {
+	doc := &agateplan.Document{Plan: agateplan.Plan{
+		Version:      7,
+		VirtualHosts: []agateplan.VirtualHost{{Name: "a.example", Routes: []agateplan.Route{{Name: "r", Prefix: "/x/"}}}},
+	}}
+	b, err := doc.Encode()
+	assert.NilError(t, err)
+	var fields struct {
+		Plan struct {
+			Workspaces   any `cbor:"5,keyasint"`
+			VirtualHosts []struct {
+				Routes []map[int]any `cbor:"2,keyasint"`
+			} `cbor:"3,keyasint"`
+		} `cbor:"1,keyasint"`
+	}
+	assert.NilError(t, cbor.Unmarshal(b, &fields))
+	assert.Assert(t, fields.Plan.Workspaces == nil)
+	route := fields.Plan.VirtualHosts[0].Routes[0]
+	assert.Equal(t, len(route), 10)
+	assert.Assert(t, route[11] == nil)
+}
+
+// BenchmarkWorkspaceByKey measures the look-up of a key among 10,000 workspaces.
+func BenchmarkWorkspaceByKey(b *testing.B) {
+	p := &agateplan.Plan{}
+	for i := range 10000 {
+		p.Workspaces = append(p.Workspaces, agateplan.Workspace{Name: strconv.Itoa(i), Keys: []string{"urtyiikdrbn4ryrb" + strconv.Itoa(i)}})
+	}
+	x := agateplan.NewIndex(p)
+	b.ReportAllocs()
+	for b.Loop() {
+		if x.WorkspaceByKey("urtyiikdrbn4ryrb5000") == nil {
+			b.Fatal("key not found")
+		}
+	}
+}
--- a/io/agatefront/conn.go
+++ b/io/agatefront/conn.go
@@ -98,6 +98,8 @@
 	// done is closed when reply is set.
 	done  chan struct{}
 	reply reply
+	// rejected is the reply if the request is rejected without its body.
+	rejected *reply
 	// finished is closed when the reply was written or dropped.
 	finished chan struct{}
 	// closeAfter means that the connection closes after the reply, as the
@@ -238,6 +240,10 @@
 		finished:   make(chan struct{}),
 		closeAfter: req.Close || !req.ProtoAtLeast(1, 1),
 	}
+	if x.rejected = c.f.rejectUnread(c, x); x.rejected != nil {
+		x.closeAfter = x.closeAfter || hasBody(req)
+		return x, 0
+	}
 	if status := c.readBody(x, l.MaxBodyBytes); status != 0 {
 		return nil, status
 	}
@@ -288,11 +294,13 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
 }
 
+func hasBody(req *http.Request) bool { return req.Body != nil && req.Body != http.NoBody }
+
 // readBody reads the whole body. It returns the status of the error response to
 // send, or 0 if the body was read or the caller disconnected.
 func (c *conn) readBody(x *exchange, maxBytes int) int {
 	req := x.req
-	if req.Body == nil || req.Body == http.NoBody {
+	if !hasBody(req) {
 		return 0
 	}
 	if req.ContentLength > int64(maxBytes) {
--- a/io/agatefront/detour.go
+++ b/io/agatefront/detour.go
@@ -5,7 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
 )
 
 // The ways of a request, of which it takes one only: the claims of attempt.way.
--- a/io/agatefront/forward.go
+++ b/io/agatefront/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"agategate/core/agatepeer"
+	"agategate/core/agateplan"
 	"agategate/io/agatemetrics"
 	"agategate/io/agateupstream"
 )
@@ -76,7 +77,11 @@
 // forward sends the request to peers until one of them carries it. tries is the number
 // of upstreams to which it has been sent, and ran tells whether one may have run it.
 func (p *proxyRequest) forward(ctx context.Context, tries int, ran bool) (out forwardResult) {
-	query := agatepeer.Query{Request: p.id, Service: p.criteria.Service, Regions: p.route.Regions}
+	regions, ok := agateplan.HomeRegions(p.route, p.criteria.Workspace)
+	if !ok {
+		return out
+	}
+	query := agatepeer.Query{Request: p.id, Service: p.criteria.Service, Regions: regions}
 	for range maxForwards {
 		start := time.Now()
 		if p.deadline.Sub(start) < minAttemptTime {
@@ -112,6 +117,7 @@
 // peerCall returns the call that forwards the request to a peer.
 func (p *proxyRequest) peerCall(peer agatepeer.Peer, tries int, ran bool) agateupstream.Call {
 	h := p.x.req.Header.Clone()
+	p.setWorkspace(h)
 	h.Set(headerOrigin, p.f.cfg.Name)
 	h.Set(headerPlan, strconv.FormatUint(p.planVersion(), 10))
 	h.Set(headerTries, strconv.Itoa(tries))
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -52,6 +52,8 @@
 	Deadline       string // remaining time in milliseconds
 	AffinityKey    string // key for sticky routing to an upstream
 	ExpectUpstream string // id of the only upstream that may run the request
+	Key            string // key of the caller's workspace; never sent on
+	Workspace      string // name of the workspace, set by the host
 	Stamp          string // marks a response as sent by an upstream; not checked by default
 	Load           string // "running,waiting,slots" of the responding upstream
 	Limit          string // requests per second that the upstream takes from all hosts together
@@ -72,6 +74,8 @@
 	set(&h.Deadline, "Agate-Deadline-Ms")
 	set(&h.AffinityKey, "Agate-Object")
 	set(&h.ExpectUpstream, "Agate-Expect")
+	set(&h.Key, "Agate-Key")
+	set(&h.Workspace, "Agate-Workspace")
 	set(&h.Load, "Agate-Load")
 	set(&h.Limit, "Agate-Limit")
 	set(&h.Leaving, "Agate-Leaving")
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -175,11 +175,15 @@
 	if !p.deadline.IsZero() {
 		left = p.deadline.Sub(now).Round(time.Millisecond)
 	}
-	return []any{
+	fields := []any{
 		"req", p.id, "route", name, "version", p.planVersion(), "service", p.criteria.Service, "object", formatObject(p.criteria.AffinityKey),
 		"choice", p.lastDecision.Upstream, "first", p.lastDecision.Best, "reason", string(p.lastDecision.Reason), "considered", p.lastDecision.Considered,
 		"expected", p.lastDecision.ExpectedLatency.Round(time.Millisecond), "load", strconv.FormatFloat(p.lastDecision.Load, 'f', 1, 64),
 		"age", p.lastDecision.ReportAge.Round(time.Millisecond), "attempts", p.attempts, "unsent", p.unsent, "end", p.lastResult, "pause", p.lastPause,
 		"left", left, "origin", p.origin, "via", p.via, "hedged", p.hedged, "copy", p.copyAnswered,
 	}
+	if w := p.workspaceName(); w != "" {
+		fields = append(fields, "workspace", w)
+	}
+	return fields
 }
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -102,7 +102,11 @@
 	}
 	running.Add(1)
 	defer running.Add(-1)
-	x.reply = p.serve()
+	if x.rejected != nil {
+		x.reply = *x.rejected
+	} else {
+		x.reply = p.serve()
+	}
 	if c.peer {
 		p.markForPeer(&x.reply)
 	}
@@ -117,8 +121,8 @@
 	return req.URL.RequestURI()
 }
 
-// match looks up the request's route in the current plan. If there is none, it
-// returns the reply to send and false.
+// match looks up the request's route in the current plan, and the workspace of its key.
+// If there is none, it returns the reply to send and false.
 func (p *proxyRequest) match() (reply, bool) {
 	p.plan = p.f.plan.Load()
 	if p.plan == nil {
@@ -128,12 +132,12 @@
 	p.route = p.plan.Match(p.x.req.Host, path)
 	switch {
 	case p.route != nil:
-		return reply{}, true
+		return p.identify()
 	case p.mayHaveRun:
 		return reply{status: http.StatusBadGateway, reason: "route removed"}, false
 	case !p.f.control.fresh():
 		// The route may be in a newer plan that this host has not received.
-		return reply{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "plan may be old", preferOtherHost: true}, false
+		return reply{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: reasonOldPlan, preferOtherHost: true}, false
 	}
 	return reply{status: http.StatusNotFound, reason: "no route"}, false
 }
@@ -143,7 +147,7 @@
 func (p *proxyRequest) serve() reply {
 	r, ok := p.match()
 	if p.c.peer {
-		if r, declined := p.declineReply(); declined {
+		if r, declined := p.declineReply(ok); declined {
 			return r
 		}
 	}
@@ -340,6 +344,7 @@
 func (p *proxyRequest) call(d agatebalance.Decision) agateupstream.Call {
 	h := p.x.req.Header.Clone()
 	h.Set(p.f.headers.ExpectUpstream, d.Upstream)
+	p.setWorkspace(h)
 	return agateupstream.Call{
 		Upstream: d.Upstream,
 		Service:  p.criteria.Service,
--- a/io/agatefront/taken.go
+++ b/io/agatefront/taken.go
@@ -44,10 +44,11 @@
 	}
 }
 
-// decline returns why this host does not take a forwarded request, or "".
-func (p *proxyRequest) decline() string {
+// decline returns why this host does not take a forwarded request, or "". identified
+// states whether its route and workspace are known.
+func (p *proxyRequest) decline(identified bool) string {
 	switch {
-	case p.originPlan != strconv.FormatUint(p.planVersion(), 10) || p.route == nil:
+	case p.originPlan != strconv.FormatUint(p.planVersion(), 10) || p.route == nil || !identified:
 		return declinedPlan
 	case !agatepeer.MayTake(int(p.f.forwardedRunning.Load())-1, int(p.f.ownRunning.Load())):
 		return declinedBusy
@@ -60,8 +61,8 @@
 }
 
 // declineReply counts a forwarded request and returns the reply to one that is declined.
-func (p *proxyRequest) declineReply() (reply, bool) {
-	reason := p.decline()
+func (p *proxyRequest) declineReply(identified bool) (reply, bool) {
+	reason := p.decline(identified)
 	if reason == "" {
 		p.f.metrics.set.Counter(agatemetrics.Taken, takenLabel).Add(1)
 		return reply{}, false
