agatequota: rate limits of workspaces over all entry hosts

Each control replica is a bank with its part of each limit and lends tokens to entry hosts over the watch streams; a host spends one for each request and replies 429 once all banks have refused. A bank's tokens and those that may still be spent never exceed its part, so the sum holds whatever is cut, frozen or restarted, without a leader. See docs/design/quota.md.

Deployments whose plan has no limits send no questions.

--- a/core/agateplan/index.go
+++ b/core/agateplan/index.go
@@ -13,6 +13,8 @@
 	services map[string]*Service
 	keys     *keyIndex             // nil if the plan has no workspaces
 	spaces   map[string]*Workspace // workspaces by name
+
+	hasLimits bool
 }
 
 // NewIndex returns an index of p, which must not be modified afterwards. Virtual
@@ -38,6 +40,7 @@
 		x.spaces = make(map[string]*Workspace, len(p.Workspaces))
 		for i := range p.Workspaces {
 			x.spaces[p.Workspaces[i].Name] = &p.Workspaces[i]
+			x.hasLimits = x.hasLimits || p.Workspaces[i].Limited()
 		}
 	}
 	return x
@@ -46,6 +49,9 @@
 // HasWorkspaces reports whether requests need a key, unless their route is public.
 func (x *Index) HasWorkspaces() bool { return x.keys != nil }
 
+// HasLimits reports whether a workspace has a rate limit.
+func (x *Index) HasLimits() bool { return x.hasLimits }
+
 // WorkspaceByKey returns the workspace that holds a key, or nil. How long it takes does
 // not depend on the keys of the plan.
 func (x *Index) WorkspaceByKey(key string) *Workspace {
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -39,6 +39,7 @@
 
 	"agategate/core/agateheal"
 	"agategate/core/agatequorum"
+	"agategate/core/agatequota"
 	"agategate/core/agatestate"
 	"agategate/internal/agateserve"
 	"agategate/io/agatelink"
@@ -84,6 +85,9 @@
 	// Heartbeat is the interval of the Raft heartbeats. The default is that of
 	// agatequorum.
 	Heartbeat time.Duration
+	// Quota is by how much the requests of a workspace may exceed its limit. The
+	// default is a tenth in windows of 5 s.
+	Quota agatequota.Tolerance
 	// Stagger spaces the election timeouts; see agatequorum.Config.
 	Stagger time.Duration
 	// Heal lets the leader replace unresponsive voters without an operator and
@@ -113,6 +117,7 @@
 	upstreamLimits upstreamLimits
 	upstreamLoads  upstreamLoads
 	plans          planCache
+	quotas         quotaBank
 	updates        broadcast
 	healer         *agateheal.Healer
 	contacts       contactTimes
@@ -151,6 +156,9 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = agatemetrics.New(agatemetrics.Config{})
 	}
+	if cfg.Quota == (agatequota.Tolerance{}) {
+		cfg.Quota = defaultQuotaTolerance
+	}
 	c := &Control{
 		cfg:             cfg,
 		log:             cfg.Logger,
@@ -254,6 +262,7 @@
 	c.tasks.Go(func() { c.every(repairInterval, c.repair) })
 	c.tasks.Go(func() { c.every(sweepInterval, c.sweep) })
 	c.tasks.Go(func() { c.every(leaderCheckInterval, c.checkLeader) })
+	c.tasks.Go(func() { c.every(sweepInterval, c.prepareQuotas) })
 	if c.cfg.Heal {
 		c.tasks.Go(func() { c.every(upstreamCheckInterval, c.checkUpstreams) })
 	}
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -93,6 +93,9 @@
 	// sentSynced is whether the last message said that this replica knows a
 	// leader.
 	sentSynced bool
+	// quotas answers the host's last question about limits, whose number is question.
+	quotas   []*agatewire.QuotaGrant
+	question uint64
 }
 
 // receive passes the heartbeats of the host to run.
@@ -146,6 +149,9 @@
 			if w.hostBehind() {
 				return true
 			}
+			if w.question != 0 && w.stream.Send(w.answer()) != nil {
+				return false
+			}
 		case <-updated:
 			updated = nil
 			if w.follow || w.c.hasLeader.Load() != w.sentSynced {
@@ -177,6 +183,12 @@
 }
 
 func (w *watchStream) handleHeartbeat(req *agatewire.WatchAsk) {
+	if len(req.Quotas) > 0 {
+		w.quotas, w.question = w.c.lendQuotas(w.host, req.Quotas), req.Question
+	}
+	if req.Partial {
+		return
+	}
 	now := time.Now()
 	w.c.presence.recordHeartbeat(now, req)
 	if w.c.upstreamLimits.merge(now, agateclient.FromWireLimits(req.Limits)) {
@@ -191,9 +203,22 @@
 	w.suspects = max(w.suspects, req.Suspects)
 }
 
+// answer returns a message that only answers the host's last question.
+func (w *watchStream) answer() *agatewire.WatchReply {
+	reply := &agatewire.WatchReply{Sender: w.c.identity(), Synced: w.c.hasLeader.Load(), Partial: true}
+	w.fillQuotas(reply)
+	return reply
+}
+
+func (w *watchStream) fillQuotas(reply *agatewire.WatchReply) {
+	reply.Quotas, reply.Question = w.quotas, w.question
+	w.quotas, w.question = nil, 0
+}
+
 func (w *watchStream) reply() *agatewire.WatchReply {
 	c := w.c
 	reply := &agatewire.WatchReply{Sender: c.identity(), Fleet: c.machine.FleetIndex()}
+	w.fillQuotas(reply)
 	if r := c.replica.Load(); r != nil {
 		st := r.Status()
 		reply.Synced = st.Leader != 0
--- a/io/agatefront/apply.go
+++ b/io/agatefront/apply.go
@@ -19,6 +19,11 @@
 	defer l.mu.Unlock()
 	w.lastReply = now
 	w.synced = reply.Synced
+	w.run = reply.Sender.GetEpoch()
+	l.applyQuotas(w, reply)
+	if reply.Partial {
+		return
+	}
 	if first {
 		w.rtt = now.Sub(start)
 	}
@@ -175,6 +180,7 @@
 	f.plan.Store(index)
 	f.mu.Unlock()
 	f.setMaxConns()
+	f.setQuotas(index.HasLimits())
 	l.planRevision = rev
 	f.log.Info("plan in force", "kind", "plan", "choice", plan.Version, "revision", rev, "from", addr)
 	for _, w := range l.watches {
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -39,6 +39,7 @@
 	"agategate/core/agatebalance"
 	"agategate/core/agatepeer"
 	"agategate/core/agateplan"
+	"agategate/core/agatequota"
 	"agategate/io/agatelink"
 	"agategate/io/agatelog"
 	"agategate/io/agatemetrics"
@@ -155,6 +156,7 @@
 	control  controlLink
 	peers    peers
 	peerPool *agateupstream.Pool
+	quotas   quotas
 	waiting  waiting
 	// ownRunning and forwardedRunning are the numbers of requests in progress that came
 	// from callers and from other entry hosts.
@@ -230,6 +232,7 @@
 	f.dialer = agatelink.NewDialer(agatelink.Config{})
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.control.f = f
+	f.quotas.holder = agatequota.NewHolder()
 	f.peers.table = agatepeer.New(agatepeer.Config{Region: cfg.Region, Domain: cfg.Domain})
 	f.wg.Go(f.control.run)
 	f.wg.Go(func() { f.accept(f.ln, false) })
--- a/io/agatefront/link.go
+++ b/io/agatefront/link.go
@@ -73,7 +73,13 @@
 	nearest      bool          // whether it is the one of the followed that sends loads
 	limits       uint64        // cursor of the limits that were sent on the stream
 	loads        uint64        // cursor of the loads that were sent on the stream
+	run          uint64        // random id of the run of the replica's process
 	heartbeatDue chan struct{} // triggers an immediate heartbeat
+	questionDue  chan struct{} // triggers a question about limits of workspaces
+	// question is the number of the last question on the stream, and askedAt when those
+	// without an answer were asked.
+	question uint64
+	askedAt  map[uint64]time.Duration
 }
 
 // hasState reports whether the host has received the fleet and the plan.
@@ -142,7 +148,7 @@
 	targets := l.replicasLocked()
 	for _, addr := range targets {
 		if l.watches[addr] == nil {
-			w := &watch{addr: addr, heartbeatDue: make(chan struct{}, 1)}
+			w := &watch{addr: addr, heartbeatDue: make(chan struct{}, 1), questionDue: make(chan struct{}, 1)}
 			ctx, cancel := context.WithCancel(l.f.ctx)
 			w.cancel = cancel
 			l.watches[addr] = w
@@ -156,6 +162,7 @@
 		}
 	}
 	l.chooseFollowed(now)
+	l.setBanks(now)
 	l.f.expireHosts(now)
 }
 
@@ -171,12 +178,7 @@
 			current = append(current, w)
 		}
 	}
-	slices.SortFunc(current, func(a, b *watch) int {
-		if a.rtt != b.rtt {
-			return int(a.rtt - b.rtt)
-		}
-		return a.addr.Compare(b.addr)
-	})
+	sortByRTT(current)
 	if len(current) == 0 {
 		return
 	}
@@ -257,6 +259,7 @@
 	start := time.Now()
 	l.mu.Lock()
 	w.limits, w.loads = 0, 0
+	w.run, w.askedAt = 0, map[uint64]time.Duration{}
 	l.mu.Unlock()
 	first := l.newHeartbeat(w)
 	if admin := l.f.cfg.Admin; admin.IsValid() {
@@ -273,6 +276,14 @@
 		select {
 		case err := <-replies:
 			return err
+		case <-w.questionDue:
+			if ask := l.newQuestion(w); ask != nil {
+				err = s.Send(ask)
+			}
+			if err != nil {
+				return err
+			}
+			continue
 		case <-w.heartbeatDue:
 		case <-tick.C:
 			if l.timedOut(w, start) {
@@ -316,6 +327,7 @@
 	if l.hasFleet {
 		ask.Fleet = l.fleetIndex
 	}
+	l.addQuestion(w, ask)
 	l.f.mu.Lock()
 	defer l.f.mu.Unlock()
 	reports, cursor := l.f.table.LimitReports(time.Now(), w.limits)
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -11,6 +11,7 @@
 
 	"agategate/core/agatebalance"
 	"agategate/core/agateplan"
+	"agategate/core/agatequota"
 	"agategate/core/agatesuspect"
 	"agategate/io/agateupstream"
 )
@@ -71,6 +72,8 @@
 	plan     *agateplan.Index
 	route    *agateplan.Route
 	criteria agatebalance.Request
+	// token is that of the workspace's limit, or nil if it has none.
+	token *agatequota.Ticket
 
 	begunAt  time.Time // when the first attempt began
 	attempts int       // attempts that reached an upstream
@@ -165,6 +168,10 @@
 	if after := p.f.suspects.refusedFor(time.Now(), p.fingerprint); after > 0 {
 		return reply{status: http.StatusServiceUnavailable, retryAfter: after, reason: "crashes upstreams"}
 	}
+	if r, ok := p.takeToken(); !ok {
+		return r
+	}
+	defer p.refundToken()
 	p.setService()
 	p.recordRequest()
 	f := p.f
