agatecontrol, agatefront: limits of workspaces for operators

agategate fleet lists what the replica that answers has left and has lent of each limit; the metric workspaces counts how requests of a workspace ended, for the first 200 of them.

--- a/io/agatecli/fleet.go
+++ b/io/agatecli/fleet.go
@@ -47,6 +47,12 @@
 	for _, u := range f.Upstreams {
 		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%s\n", u.Service, u.ID, u.Domain, u.Address, u.Slots, upstreamState(u))
 	}
+	if len(f.Limits) > 0 {
+		fmt.Fprintln(tw, "\nWORKSPACE\tRATE\tBURST\tLEFT\tLENT")
+	}
+	for _, l := range f.Limits {
+		fmt.Fprintf(tw, "%s\t%g/s\t%g\t%.0f\t%d\n", l.Workspace, l.Rate, l.Burst, l.Left, l.Lent)
+	}
 	tw.Flush()
 }
 
--- a/io/agatecontrol/planops.go
+++ b/io/agatecontrol/planops.go
@@ -94,6 +94,7 @@
 			Name: h.name, Region: h.region, Domain: h.domain, CallerAddr: h.callerAddr.String(), Ready: h.ready,
 		})
 	}
+	out.Limits = c.quotaStatus()
 	return out
 }
 
--- a/io/agatecontrol/quota.go
+++ b/io/agatecontrol/quota.go
@@ -10,6 +10,7 @@
 	"agategate/core/agatequota"
 	"agategate/internal/agateclock"
 	"agategate/io/agateclient"
+	"agategate/io/agateops"
 	"agategate/io/agatewire"
 )
 
@@ -100,6 +101,22 @@
 	return limits
 }
 
+// quotaStatus returns the limits of workspaces and this replica's part.
+func (c *Control) quotaStatus() (out []agateops.FleetLimit) {
+	q := &c.quotas
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.bank == nil {
+		return nil
+	}
+	for _, a := range q.bank.Status(agateclock.Now()) {
+		out = append(out, agateops.FleetLimit{
+			Workspace: a.Limit.Workspace, Rate: a.Limit.Rate, Burst: a.Limit.Burst, Left: a.Level, Lent: a.Outstanding,
+		})
+	}
+	return out
+}
+
 // prepareQuotas configures the bank before hosts ask, so that it has collected tokens by
 // then.
 func (c *Control) prepareQuotas(context.Context) {
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -50,6 +50,9 @@
 	now := time.Now()
 	took := now.Sub(p.x.received)
 	f.metrics.reply(p.criteria.Service, r, took)
+	if w := p.workspaceName(); w != "" {
+		f.metrics.workspace(w, r)
+	}
 	f.cfg.Log.Store(p.decision(r, took))
 	if !f.shouldLog(p, r, now) {
 		f.metrics.set.Counter(agatemetrics.SkippedLines, "").Add(1)
--- a/io/agatefront/metrics.go
+++ b/io/agatefront/metrics.go
@@ -1,6 +1,8 @@
 package agatefront
 
 import (
+	"net/http"
+	"sync"
 	"time"
 
 	"agategate/core/agatebalance"
@@ -9,7 +11,32 @@
 
 // metrics records the host's requests, retries and refusals.
 type metrics struct {
-	set *agatemetrics.Set
+	set        *agatemetrics.Set
+	workspaces *workspaceLabels
+}
+
+// maxWorkspaceLabels is the number of workspaces that have counters of their own.
+const maxWorkspaceLabels = 200
+
+// workspaceLabels bounds the number of workspaces with counters of their own. It is safe
+// for concurrent use.
+type workspaceLabels struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+// label returns the name of a workspace, or "other" if there are too many.
+func (l *workspaceLabels) label(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.names[name]:
+	case len(l.names) >= maxWorkspaceLabels:
+		return "other"
+	default:
+		l.names[name] = true
+	}
+	return name
 }
 
 // newMetrics declares the metrics of an entry host. Gauges of its state are
@@ -27,7 +54,7 @@
 	set.Func(agatemetrics.LimitedUpstreams, func() any { return f.sumUpstreams(limited) })
 	set.Func(agatemetrics.LinksLost, func() any { return toInt(f.linksLost.Load()) })
 	set.Func(agatemetrics.Peers, func() any { return f.peers.countByDomain() })
-	return metrics{set: set}
+	return metrics{set: set, workspaces: &workspaceLabels{names: map[string]bool{}}}
 }
 
 // limited is 1 for an upstream that names a limit.
@@ -62,6 +89,20 @@
 // was read completely.
 func (m metrics) refused(reason string) { m.set.Counter(agatemetrics.Refused, reason).Add(1) }
 
+// workspace counts the end of a request of a workspace.
+func (m metrics) workspace(name string, r *reply) {
+	end := "failed"
+	switch {
+	case r.status == http.StatusTooManyRequests:
+		end = "limited"
+	case r.status < http.StatusBadRequest:
+		end = "served"
+	case meansNotRun(r.status):
+		end = "refused"
+	}
+	m.set.Counter(agatemetrics.Workspaces, m.workspaces.label(name)+"/"+end).Add(1)
+}
+
 // reply counts one reply and records its latency unless it is a refusal.
 func (m metrics) reply(service string, r *reply, took time.Duration) {
 	if service == "" {
--- a/io/agatemetrics/name.go
+++ b/io/agatemetrics/name.go
@@ -16,6 +16,7 @@
 	Upstreams         Name = "upstreams"
 	InFlight          Name = "inflight"
 	LimitedUpstreams  Name = "limited"
+	Workspaces        Name = "workspaces"
 	LinksLost         Name = "unlinked"
 	Peers             Name = "peers"
 	Forwarded         Name = "forwarded"
@@ -89,6 +90,7 @@
 	{Taken, "counter", "reason", "requests", "entry", "requests of other entry hosts that were taken, or declined for this reason"},
 	{LinksLost, "gauge", "", "0 or 1", "entry", "1 while the host has lost its links to all upstreams"},
 	{LimitedUpstreams, "gauge", "service", "upstreams", "entry", "upstreams that name a limit of requests per second"},
+	{Workspaces, "counter", "workspace/end", "requests", "entry", "requests of the first 200 workspaces (others: other) that were served, limited (429), refused otherwise, or failed"},
 	{InFlight, "gauge", "service", "requests", "entry", "requests sent to upstreams and not yet answered"},
 	{QueueLength, "gauge", "service", "requests", "entry", "requests that wait for an upstream"},
 	{Headroom, "gauge", "service/region", "requests/s", "entry", "unused capacity below the target utilization"},
--- a/io/agateops/fleet.go
+++ b/io/agateops/fleet.go
@@ -15,6 +15,17 @@
 	Evacuated []string        `json:"evacuated"` // failure domains
 	Upstreams []FleetUpstream `json:"upstreams"`
 	Hosts     []FleetHost     `json:"hosts"`
+	// Limits are those of workspaces, with the part of the replica that answers.
+	Limits []FleetLimit `json:"limits"`
+}
+
+// FleetLimit is the rate limit of a workspace, and the tokens of one replica's part.
+type FleetLimit struct {
+	Workspace string  `json:"workspace"`
+	Rate      float64 `json:"rate"`  // requests per second over all entry hosts
+	Burst     float64 `json:"burst"` // requests
+	Left      float64 `json:"left"`  // tokens that the replica can lend
+	Lent      int     `json:"lent"`  // tokens that entry hosts may still spend
 }
 
 // FleetUpstream is one upstream.
@@ -66,6 +77,7 @@
 	}
 	f := r.Fleet
 	f.Evacuated, f.Upstreams, f.Hosts = orEmpty(f.Evacuated), orEmpty(f.Upstreams), orEmpty(f.Hosts)
+	f.Limits = orEmpty(f.Limits)
 	return c.JSON(http.StatusOK, f)
 }
 
