agatebalance: more urgent requests go first when not all fit

A request of a workspace now joins a queue only up to three quarters of what more urgent requests of the last seconds can bear; one in twenty joins it like them, so that none starves. Requests of plans without workspaces are decided as before.

--- a/core/agatebalance/candidate.go
+++ b/core/agatebalance/candidate.go
@@ -134,7 +134,7 @@
 		x.pausedCount++
 	case x.now.Add(seconds(c.expectedSeconds)).After(x.r.Deadline):
 		x.lateCount++
-	case !idle && c.load+1/c.u.slots() > maxLoadPerSlot, !idle && !x.r.Target.IsZero() && c.cachedSeconds > x.maxSeconds():
+	case !idle && (c.load+1/c.u.slots() > x.maxLoad || c.cachedSeconds > x.maxSeconds()):
 		x.minBusySeconds = min(x.minBusySeconds, c.cachedSeconds)
 		x.busyCount++
 	case x.r.AffinityKey != 0 && c.position >= preferredCount && (c.load > fallbackMaxLoad || x.meanLoad > fallbackMaxLoad):
@@ -151,7 +151,10 @@
 
 // maxSeconds is the largest expected latency of a request that is queued.
 func (x *search) maxSeconds() float64 {
-	return x.targetMultiple * x.r.Target.Sub(x.now).Seconds()
+	if x.r.Target.IsZero() {
+		return x.urgentSeconds
+	}
+	return min(x.urgentSeconds, x.targetMultiple*x.r.Target.Sub(x.now).Seconds())
 }
 
 // rttSeconds is the round-trip time to the upstream in seconds, or a default if
--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -131,8 +131,12 @@
 	// targetMultiple is the current bound between hitTargetMultiple and
 	// missTargetMultiple.
 	targetMultiple float64
-	candidates     []candidate // by cost
-	home           string      // region of the first upstream in the preference order that is not down, if any
+	// urgentSeconds bounds the latency of a queue that the request may join, so that
+	// more urgent ones find room. It is +Inf if there were none lately.
+	urgentSeconds float64
+	maxLoad       float64     // requests per slot of a queue that the request may join
+	candidates    []candidate // by cost
+	home          string      // region of the first upstream in the preference order that is not down, if any
 
 	// The number of rejected candidates by cause. Those in busyCount are full, too
 	// slow for the target, above fallbackMaxLoad, or excluded by the overflow limit.
@@ -158,8 +162,10 @@
 	}
 	x := search{
 		t: t, s: s, r: r, now: now, localBonus: t.localBonus(s), missCost: s.work.missCost(), minBusySeconds: math.Inf(1),
+		urgentSeconds: math.Inf(1), maxLoad: maxLoadPerSlot,
 		targetMultiple: hitTargetMultiple + (missTargetMultiple-hitTargetMultiple)*s.work.missShare(),
 	}
+	x.setUrgency()
 	x.collectCandidates()
 	c := x.choose()
 	if c == nil {
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -196,6 +196,7 @@
 	links           serviceLinks
 	overflow        overflow
 	homes           homeShares
+	urgencies       urgencies
 	// disruptedAt is when an upstream was last removed, began to drain, expired,
 	// was unresponsive or was found to have lost its address to another upstream,
 	// or an evacuation began or ended.
