agatefront: large responses are passed on while they arrive

Cause: a response was read whole before its first byte went to the caller, so a response of 90 KB over links of 4.3 Mbit/s took 0.17 s twice. A response that ends early ends the connection.

The script download was seen to fail without it: the caller had half of the response after the upstream had given up.

--- a/io/agatefront/detour.go
+++ b/io/agatefront/detour.go
@@ -74,13 +74,13 @@
 	a.p.f.suspectLinks(a.begunAt, a.d.Upstream)
 	a.p.awaitSuspicion(t.ctx)
 	a.p.f.forwardWaiting()
-	if a.isCopy || a.p.c.peer || !a.p.linksDoubtful() || !a.way.CompareAndSwap(wayOpen, wayForwarded) {
+	if a.isCopy || a.p.c.peer || a.p.answered.Load() || !a.p.linksDoubtful() || !a.way.CompareAndSwap(wayOpen, wayForwarded) {
 		return
 	}
 	out := t.forward(a.p.attempts, a.p.mayHaveRun)
 	switch {
 	case out.replied:
-		t.cancelOriginal()
+		t.takeOver()
 	case out.written == 0:
 		a.way.CompareAndSwap(wayForwarded, wayOpen)
 	}
@@ -94,13 +94,24 @@
 	}
 	defer t.leave()
 	p := t.a.p
+	if p.answered.Load() {
+		return
+	}
 	if tries := p.attempts + 1; tries < p.route.MaxAttempts && p.f.allowLinkCopy(p.criteria.Service) {
 		if out := t.forward(tries, true); out.answered() {
-			t.cancelOriginal()
+			t.takeOver()
 		}
 	}
 }
 
+// takeOver cancels the attempt, as the forwarded request has been answered, unless the
+// attempt's response is being passed on to the caller.
+func (t *detour) takeOver() {
+	if t.a.p.answered.CompareAndSwap(false, true) {
+		t.cancelOriginal()
+	}
+}
+
 func (f *Front) allowLinkCopy(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/agatefront/hedge.go
+++ b/io/agatefront/hedge.go
@@ -47,7 +47,7 @@
 	defer cancel()
 	a.detour = newDetour(a, cancel)
 	res := a.runHedged(ctx)
-	if out, forwarded := a.detour.end(usable(&res)); forwarded {
+	if out, forwarded := a.detour.end(usable(&res) || p.streamedBy.Load() != nil); forwarded {
 		return res, &out
 	}
 	return res, nil
@@ -71,18 +71,34 @@
 	if timer.Stop() {
 		return res
 	}
-	if usable(&res) {
+	if usable(&res) && p.mayAnswer(a) {
 		cancelCopy()
 	}
 	<-h.done
 	p.hedged = h.sent.Load()
-	if p.hedged && !usable(&res) && usable(&h.result) {
+	if p.hedged && (!usable(&res) || !p.mayAnswer(a)) && usable(&h.result) {
 		p.copyAnswered = true
 		return h.result
 	}
 	return res
 }
 
+// mayAnswer reports whether the response of an attempt may become the reply, because
+// that of no other one is being passed on.
+func (p *proxyRequest) mayAnswer(a *attempt) bool {
+	by := p.streamedBy.Load()
+	return by == nil || by == a
+}
+
+// cancelOther cancels the original if a is the copy, and the copy if it is the original.
+func (h *hedge) cancelOther(a *attempt) {
+	if a.isCopy {
+		h.cancelOriginal()
+		return
+	}
+	h.cancelCopy()
+}
+
 // hedgeDelay returns the delay after which a copy may be sent, or false if the request
 // must not be sent twice.
 func (p *proxyRequest) hedgeDelay(d *agatebalance.Decision) (time.Duration, bool) {
@@ -106,7 +122,7 @@
 	a.p.f.metrics.hedge(a.p.criteria.Service)
 	c := &attempt{p: a.p, d: a.d, startedAt: a.startedAt, hedge: h, isCopy: true, detour: a.detour}
 	h.result = c.run(h.copyContext)
-	if usable(&h.result) {
+	if usable(&h.result) && a.p.mayAnswer(c) {
 		h.cancelOriginal()
 	}
 }
@@ -136,6 +152,9 @@
 	defer done()
 	call := p.call(a.d)
 	call.Connected = a.recordConnection
+	if p.streams() {
+		call.Stream = a.stream
+	}
 	a.begunAt = time.Now()
 	late := time.AfterFunc(f.connectTime(a.d.Upstream), func() { a.detour.connectionLate(a) })
 	call.BeforeWrite = func() bool {
--- a/io/agatefront/log.go
+++ b/io/agatefront/log.go
@@ -43,10 +43,9 @@
 	return l.lines <= maxLines
 }
 
-// finish records a request in the metrics, retains its decision and writes its
+// finish records a request and its reply in the metrics, retains its decision and writes its
 // log line.
-func (f *Front) finish(p *proxyRequest) {
-	r := &p.x.reply
+func (f *Front) finish(p *proxyRequest, r *reply) {
 	now := time.Now()
 	took := now.Sub(p.x.received)
 	f.metrics.reply(p.criteria.Service, r, took)
--- a/io/agatefront/log_bench_test.go
+++ b/io/agatefront/log_bench_test.go
@@ -37,7 +37,7 @@
 				p.criteria.Service = "labels"
 				p.lastDecision = agatebalance.Decision{Upstream: "u1", Best: "u1", Reason: agatebalance.ReasonPreferred, Considered: 12}
 				p.x = &exchange{received: now, reply: reply{status: c.status, header: http.Header{}}}
-				f.finish(p)
+				f.finish(p, &p.x.reply)
 			}
 		})
 	}
--- a/io/agatefront/reply.go
+++ b/io/agatefront/reply.go
@@ -14,6 +14,10 @@
 	status int
 	header http.Header // end-to-end headers of an upstream's response; nil for the host's own reply
 	body   []byte
+	// stream passes on a body of size bytes while it arrives. It replaces body if it is
+	// not nil.
+	stream *bodyStream
+	size   int64
 	// retryAfter is the Retry-After time, for statuses that mean that the
 	// request was not run.
 	retryAfter time.Duration
@@ -36,7 +40,8 @@
 	r.extra.Set(name, value)
 }
 
-// encode returns the reply as an HTTP/1.1 message. The host's own reply has the
+// encode returns the reply as an HTTP/1.1 message, without the body of a stream. The
+// host's own reply has the
 // reason as its body and the request's id as a header.
 func (r *reply) encode(req *http.Request, last bool, idHeader string) []byte {
 	var b bytes.Buffer
@@ -61,7 +66,11 @@
 	h.Del("Connection")
 	if bodyAllowed(r.status) {
 		if req.Method != http.MethodHead {
-			h.Set("Content-Length", strconv.Itoa(len(body)))
+			size := int64(len(body))
+			if r.stream != nil {
+				size = r.size
+			}
+			h.Set("Content-Length", strconv.FormatInt(size, 10))
 		}
 	} else {
 		h.Del("Content-Length")
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -72,6 +73,10 @@
 	plan     *agateplan.Index
 	route    *agateplan.Route
 	criteria agatebalance.Request
+	// answered is claimed by the attempt whose response is passed on while it arrives,
+	// or by a forwarded request that was answered. streamedBy is that attempt.
+	answered   atomic.Bool
+	streamedBy atomic.Pointer[attempt]
 	// token is that of the workspace's limit, or nil if it has none.
 	token *agatequota.Ticket
 
@@ -96,7 +101,6 @@
 
 // handle processes one request and sets its reply.
 func (f *Front) handle(c *conn, x *exchange) {
-	defer close(x.done)
 	p := &proxyRequest{f: f, c: c, x: x, id: x.req.Header.Get(f.headers.RequestID), path: requestPath(x.req)}
 	running := &f.ownRunning
 	if c.peer {
@@ -105,15 +109,24 @@
 	}
 	running.Add(1)
 	defer running.Add(-1)
-	if x.rejected != nil {
-		x.reply = *x.rejected
-	} else {
-		x.reply = p.serve()
+	r := p.reply()
+	if p.streamedBy.Load() == nil {
+		x.reply = r
+		close(x.done)
 	}
-	if c.peer {
-		p.markForPeer(&x.reply)
+	f.finish(p, &r)
+}
+
+// reply returns the reply to the request.
+func (p *proxyRequest) reply() reply {
+	if p.x.rejected != nil {
+		return *p.x.rejected
 	}
-	f.finish(p)
+	r := p.serve()
+	if p.c.peer {
+		p.markForPeer(&r)
+	}
+	return r
 }
 
 // requestPath returns the path and query as sent by the caller.
@@ -326,6 +339,9 @@
 // sent to the caller or if the caller has disconnected.
 func (p *proxyRequest) attempt(d agatebalance.Decision) (reply, bool) {
 	res, forwarded := p.send(d)
+	if r, streamed := p.endStream(&res); streamed {
+		return r, true
+	}
 	if forwarded != nil {
 		if r, replied := p.recordForward(*forwarded); replied {
 			return r, true
--- a/io/agateupstream/bodies.go
+++ b/io/agateupstream/bodies.go
@@ -53,8 +53,9 @@
 	service   string
 	unbounded bool // the body has no declared length
 	size      int64
-	yielded   bool   // the body was given up for others
-	abort     func() // interrupts a read
+	yielded   bool              // the body was given up for others
+	abort     func()            // interrupts a read
+	stream    func(part []byte) // gets each part as it arrives; may be nil
 }
 
 // read reads a whole body of at most limit bytes. r.abort interrupts the read from
@@ -75,6 +76,9 @@
 		if err := b.grow(r, int64(n)); err != nil {
 			return nil, err
 		}
+		if r.stream != nil && n > 0 {
+			r.stream(out[len(out)-n:])
+		}
 		switch {
 		case int64(len(out)) > limit:
 			return nil, errBodySize
--- a/io/agateupstream/call.go
+++ b/io/agateupstream/call.go
@@ -50,8 +50,18 @@
 	// BeforeWrite is called immediately before the first byte is written. If it
 	// returns false, nothing is written. It may be nil.
 	BeforeWrite func() bool
+	// Stream is called with the head of a response whose declared length is at least
+	// MinStreamBytes, unless it states that the request was not run. If it does not
+	// return nil, the function that it returns is called with each part of the body as
+	// it arrives, and must not modify it. Do reads the whole body in any case. Stream
+	// may be nil.
+	Stream func(status int, header http.Header, size int64) func(part []byte)
 }
 
+// MinStreamBytes is the size of a response body from which Call.Stream is used. A smaller
+// one arrives almost at once.
+const MinStreamBytes = 16 << 10
+
 // Kind classifies the result of a call.
 type Kind uint8
 
--- a/io/agateupstream/exchange.go
+++ b/io/agateupstream/exchange.go
@@ -170,6 +170,7 @@
 		service:   cmp.Or(x.call.Service, x.call.Upstream),
 		unbounded: resp.Body != http.NoBody && resp.ContentLength < 0,
 		abort:     x.conn.close,
+		stream:    x.stream(resp),
 	})
 	if err != nil {
 		return x.fail(err)
@@ -179,6 +180,14 @@
 	return x.result(resp, body)
 }
 
+// stream returns the function that gets the parts of the body as they arrive, or nil.
+func (x *exchange) stream(resp *http.Response) func(part []byte) {
+	if x.call.Stream == nil || resp.Body == http.NoBody || resp.ContentLength < MinStreamBytes || x.cfg.NotRun(resp.StatusCode, resp.Header) {
+		return nil
+	}
+	return x.call.Stream(resp.StatusCode, endToEnd(resp.Header), resp.ContentLength)
+}
+
 // requestWritten reports whether the whole request was written.
 func (x *exchange) requestWritten() bool {
 	if x.writeDone == nil {
