agatestate, agatebalance: ordinals of upstreams, and shares by their slots

Cause: orders of upstreams depend on ids, so a release moves every object twice, and shares ignore the sizes of upstreams. If a plan asks for it, the control group numbers the upstreams of a service in a failure domain, one that replaces another one gets its number, and hosts order upstreams by number, weighted by slots.

--- a/core/agatebalance/candidate.go
+++ b/core/agatebalance/candidate.go
@@ -118,7 +118,7 @@
 		}
 		return remoteRank
 	}
-	rank := keyScore(x.r.AffinityKey, u.info.ID) * float64(len(x.s.upstreams)+1)
+	rank := u.score(x.r.AffinityKey) * float64(len(x.s.upstreams)+1)
 	if u.local {
 		rank -= x.localBonus
 	}
--- a/core/agatebalance/table.go
+++ b/core/agatebalance/table.go
@@ -65,6 +65,9 @@
 	WarmupLeft time.Duration
 	// StartedAtMs is the start of the upstream's process in Unix milliseconds.
 	StartedAtMs int64
+	// Ordinal is the upstream's position among those of its service in its failure
+	// domain, from 1, or 0 if it has none.
+	Ordinal int
 }
 
 // Table is the state of all upstreams as seen by one entry host.
@@ -99,7 +102,15 @@
 }
 
 // SetPlan applies a plan.
-func (t *Table) SetPlan(plan *agateplan.Index) { t.plan = plan }
+func (t *Table) SetPlan(plan *agateplan.Index) {
+	t.plan = plan
+	for _, u := range t.upstreams {
+		t.setOrder(u)
+	}
+	for _, s := range t.services {
+		s.setWeights(t.usesOrdinals())
+	}
+}
 
 // UpdateUpstreams adds, updates and removes upstreams. If full is set, upstreams
 // that are not listed are removed. evacuated is the complete list of evacuated
@@ -134,6 +145,7 @@
 	}
 	for _, s := range t.services {
 		s.localBonusValid = false
+		s.setWeights(t.usesOrdinals())
 	}
 	slices.Sort(removed)
 	return removed
@@ -172,6 +184,7 @@
 		u.coldUntil = now.Add(info.WarmupLeft)
 	}
 	u.hostRank = t.hostRank(u)
+	t.setOrder(u)
 }
 
 func (t *Table) remove(id string) {
--- a/core/agatebalance/upstream.go
+++ b/core/agatebalance/upstream.go
@@ -56,6 +56,10 @@
 	info   UpstreamInfo
 	region string
 	local  bool // in the region of this host
+	// orderName identifies the upstream in preference orders, and weightInverse is the
+	// mean weight of its service's upstreams divided by its own.
+	orderName     string
+	weightInverse float64
 
 	inFlight int // requests in flight from this host
 	// unansweredSince is when the upstream last responded, or when the first request
@@ -96,7 +100,7 @@
 }
 
 func newUpstream(id string) *upstream {
-	return &upstream{info: UpstreamInfo{ID: id}}
+	return &upstream{info: UpstreamInfo{ID: id}, orderName: id, weightInverse: 1}
 }
 
 // slots is the number of requests that the upstream processes concurrently.
--- a/core/agateplan/document.go
+++ b/core/agateplan/document.go
@@ -60,6 +60,20 @@
 	return d, nil
 }
 
+// UsesOrdinals reports whether an encoded Document has a plan with Ordinals. It reports
+// false for other documents.
+func UsesOrdinals(b []byte) bool {
+	if !IsDocument(b) {
+		return false
+	}
+	var doc struct {
+		Plan struct {
+			Ordinals bool `cbor:"6,keyasint"`
+		} `cbor:"1,keyasint"`
+	}
+	return cbor.Unmarshal(b, &doc) == nil && doc.Plan.Ordinals
+}
+
 // maxPlanBytes is the largest size of an uncompressed plan that Unpack accepts. A
 // plan with a few thousand routes takes a few hundred kilobytes.
 const maxPlanBytes = 32 << 20
--- a/core/agateplan/format.go
+++ b/core/agateplan/format.go
@@ -11,7 +11,10 @@
 // planText and the types below define the TOML that Format writes. Optional keys
 // with their zero value are omitted; Parse sets their defaults.
 type planText struct {
-	Version uint64        `toml:"version"`
+	Version uint64 `toml:"version"`
+
+	Ordinals bool `toml:"ordinals,omitempty"`
+
 	Limits  *limitsText   `toml:"limits,omitempty"`
 	Service []serviceText `toml:"service,omitempty"`
 	Host    []hostText    `toml:"host,omitempty"`
@@ -70,7 +73,7 @@
 // Format returns the plan as a TOML document that Parse reads. For a plan returned
 // by Parse, parsing the document gives an equal plan.
 func Format(p *Plan) ([]byte, error) {
-	text := planText{Version: p.Version}
+	text := planText{Version: p.Version, Ordinals: p.Ordinals}
 	if l := p.Limits; l != (Limits{}) {
 		text.Limits = &limitsText{Header: l.MaxHeaderBytes, Body: l.MaxBodyBytes, Read: formatDuration(l.HeaderTimeout), Idle: formatDuration(l.IdleTimeout)}
 	}
--- a/core/agateplan/parse.go
+++ b/core/agateplan/parse.go
@@ -14,7 +14,10 @@
 // planTable and the types below define the TOML document that operators write.
 type planTable struct {
 	At      agatestrict.Location
-	Version int64          `toml:"version,required" min:"1"`
+	Version int64 `toml:"version,required" min:"1"`
+	// Ordinals is as in Plan.
+	Ordinals bool `toml:"ordinals"`
+
 	Limits  limitsTable    `toml:"limits"`
 	Service []serviceTable `toml:"service"`
 	Host    []hostTable    `toml:"host"`
@@ -116,8 +119,9 @@
 
 func (t *planTable) plan() *Plan {
 	p := &Plan{
-		Version: uint64(max(0, t.Version)),
-		Limits:  Limits{MaxHeaderBytes: t.Limits.Header, MaxBodyBytes: t.Limits.Body, HeaderTimeout: t.Limits.Read, IdleTimeout: t.Limits.Idle},
+		Version:  uint64(max(0, t.Version)),
+		Ordinals: t.Ordinals,
+		Limits:   Limits{MaxHeaderBytes: t.Limits.Header, MaxBodyBytes: t.Limits.Body, HeaderTimeout: t.Limits.Read, IdleTimeout: t.Limits.Idle},
 	}
 	for i := range t.Service {
 		s := &t.Service[i]
--- a/core/agateplan/plan.go
+++ b/core/agateplan/plan.go
@@ -67,6 +67,10 @@
 	// Workspaces are the tenants whose keys requests must carry, unless their route is
 	// public. If there are none, requests need no key.
 	Workspaces []Workspace `cbor:"5,keyasint,omitempty"`
+	// Ordinals keeps objects at their upstreams while others are replaced: the control
+	// group numbers the upstreams, and their order for an object depends on their
+	// numbers and slots in place of their ids.
+	Ordinals bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Service is a service and the settings shared by its upstreams.
--- a/core/agatestate/codec.go
+++ b/core/agatestate/codec.go
@@ -140,6 +140,7 @@
 		Gone        bool           `cbor:"9,keyasint,omitempty"`
 		WarmupLeft  time.Duration  `cbor:"10,keyasint,omitempty"`
 		Expired     bool           `cbor:"11,keyasint,omitempty"`
+		Ordinal     int            `cbor:"12,keyasint,omitempty"`
 	}
 	wireClearSuspects struct {
 		Fingerprints []Fingerprint `cbor:"1,keyasint"`
--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -51,6 +51,10 @@
 	// Within goneRetention, a later announcement of the same process brings it
 	// back. After that, or by deregistration, it is permanently gone.
 	Expired bool
+	// Ordinal is the position of the upstream among those of its service in its failure
+	// domain, from 1, or 0 if the configuration does not ask for ordinals. The state
+	// machine assigns it; that of a command is ignored.
+	Ordinal int
 }
 
 // newer reports whether the same upstream announced u after old.
@@ -178,6 +182,10 @@
 func (m *Machine) announceOne(up *Upstream) (changed, stored bool) {
 	f := &m.fleet
 	old := f.upstreams[up.ID]
+	ordinal := 0
+	if old != nil {
+		ordinal = old.upstream.Ordinal
+	}
 	if up.endsProcess() {
 		if old == nil || (up.StartedAtMs != 0 && up.StartedAtMs < old.upstream.StartedAtMs) {
 			return false, true
@@ -214,7 +222,11 @@
 	} else if f.addresses[old.upstream.Address] == old {
 		delete(f.addresses, old.upstream.Address)
 	}
+	if old.upstream.Service != up.Service || old.upstream.Domain != up.Domain {
+		ordinal = 0
+	}
 	old.upstream = *up
+	m.assignOrdinal(old, ordinal)
 	if !up.Gone {
 		f.addresses[up.Address] = old
 	}
--- a/core/agatestate/machine.go
+++ b/core/agatestate/machine.go
@@ -67,6 +67,9 @@
 // the initial limits; a Limits command replaces them. A field that is zero
 // takes its default.
 type Config struct {
+	// UsesOrdinals reports whether a configuration document asks for ordinals of
+	// upstreams. All replicas must agree on it. Nil means that none does.
+	UsesOrdinals func(document []byte) bool
 	// Retention is how long an action record is kept after its last change.
 	// The default is 24 h.
 	Retention time.Duration
@@ -140,6 +143,7 @@
 	actions  actions
 	suspects suspects
 	fleet    fleet
+	ordinals bool // the configuration asks for ordinals of upstreams
 }
 
 // New returns an empty machine.
--- a/core/agatestate/snapshot.go
+++ b/core/agatestate/snapshot.go
@@ -222,6 +222,7 @@
 	m.actions = n.actions
 	m.suspects = n.suspects
 	m.fleet = n.fleet
+	m.ordinals = m.usesOrdinals()
 	m.setLimits(n.limits())
 	return nil
 }
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -38,6 +38,7 @@
 	"google.golang.org/grpc"
 
 	"agategate/core/agateheal"
+	"agategate/core/agateplan"
 	"agategate/core/agatequorum"
 	"agategate/core/agatequota"
 	"agategate/core/agatestate"
@@ -184,7 +185,7 @@
 	}
 	c.store = store
 	c.id = saved.Identity
-	c.machine = agatestate.New(agatestate.Config{})
+	c.machine = agatestate.New(agatestate.Config{UsesOrdinals: agateplan.UsesOrdinals})
 	c.dialer = agatelink.NewDialer(agatelink.Config{TLS: cfg.ClientTLS, Dial: cfg.Dial})
 	c.sender = agatelink.NewSender(c.dialer)
 	c.fresh.Store(saved.Fresh)
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -320,6 +320,7 @@
 		Lapsed:   u.Expired,
 		Cold:     u.WarmupLeft.Milliseconds(),
 		Born:     u.StartedAtMs,
+		Ordinal:  int32(min(u.Ordinal, 1<<20)),
 	}
 	if u.Address.IsValid() {
 		row.Address = u.Address.String()
--- a/io/agatefront/apply.go
+++ b/io/agatefront/apply.go
@@ -138,6 +138,7 @@
 			Expired:      u.Lapsed,
 			WarmupLeft:   time.Duration(u.Cold) * time.Millisecond,
 			StartedAtMs:  u.Born,
+			Ordinal:      int(u.Ordinal),
 		})
 		if l.hasFleet {
 			f.log.Info("upstream", "kind", "upstream", "choice", u.Id, "service", u.Service, "address", u.Address,
--- a/io/agatesettings/settings.go
+++ b/io/agatesettings/settings.go
@@ -127,6 +127,8 @@
 // a foreign configuration format. It has only the keys that the format lacks.
 type AdapterSettings struct {
 	Log Log `toml:"log"`
+	// Ordinals is agateplan.Plan.Ordinals of all plans that the adapter receives.
+	Ordinals bool `toml:"ordinals"`
 }
 
 // Skip returns the fraction of routine decisions that are not written, which is
