--- a/core/agateplan/parse.go
+++ b/core/agateplan/parse.go
@@ -84,21 +84,27 @@
 // problems; the file is not opened. By default, routes are unsafe and have one
 // attempt, and the services of a route have weight 1.
 func Parse(file string, data []byte) (*Plan, Problems) {
+	p, _, doc := parse(file, data)
+	if problems := doc.Problems(); len(problems) > 0 {
+		return nil, problems
+	}
+	return p, nil
+}
+
+// parse parses a plan and checks it. The document has the problems; without any, the
+// plan and its table are valid.
+func parse(file string, data []byte) (*Plan, *planTable, *agatestrict.Document) {
 	doc := agatestrict.Read(file, data)
+	table := &planTable{}
 	if doc.Incomplete() {
-		return nil, doc.Problems()
+		return nil, table, doc
 	}
-	var table planTable
-	doc.Decode(&table)
+	doc.Decode(table)
 	p := table.plan()
-	if problems := doc.Problems(); len(problems) > 0 {
-		return nil, problems
-	}
-	p.check(table.report)
-	if problems := doc.Problems(); len(problems) > 0 {
-		return nil, problems
+	if len(doc.Problems()) == 0 {
+		p.check(table.report)
 	}
-	return p, nil
+	return p, table, doc
 }
 
 // report adds a problem found by Plan.check at the table it concerns.
