agatequota: requests wait only for tokens that their host can expect

Cause: a bank of a workspace beyond its limit often has its next token soon, so requests waited up to 0.3 s for it in vain, although others took it. A request now waits only if its host can expect a token by then while all hosts that lack some get the same part, and for a quarter of its route's target at most.

--- a/core/agatequota/bank.go
+++ b/core/agatequota/bank.go
@@ -11,8 +11,11 @@
 
 const (
 	// minPart is the least capacity of a bank, in tokens. A limit of which each of all
-	// banks would have less is divided among fewer.
-	minPart = 2.0
+	// banks would have less is divided among fewer, but among minBanks while each has
+	// leastPart, so that it outlives the loss of two replicas.
+	minPart   = 4.0
+	minBanks  = 3
+	leastPart = 2.0
 	// aheadShare is the part of what a bank has left that one host may get beyond what
 	// it needs now.
 	aheadShare = 0.25
@@ -89,7 +92,9 @@
 	if len(replicas) == 0 {
 		return 0
 	}
-	parts := int(min(max(1, b.cfg.Tolerance.capacity(l)/minPart), float64(len(replicas))))
+	capacity := b.cfg.Tolerance.capacity(l)
+	parts := int(max(1, capacity/minPart, min(minBanks, capacity/leastPart)))
+	parts = min(parts, len(replicas))
 	own := replicaScore(l.Workspace, b.cfg.Replica)
 	rank := 0
 	for _, id := range replicas {
--- a/core/agatequota/holder.go
+++ b/core/agatequota/holder.go
@@ -24,9 +24,6 @@
 	silentPeriod  = time.Second
 	// idlePeriod is the time without a request after which a host gives back tokens.
 	idlePeriod = 500 * time.Millisecond
-	// holdTime is how long a request waits for a token that a bank will have by then. To
-	// refuse it would cost its caller a connection and a round trip.
-	holdTime = 300 * time.Millisecond
 	// minReturn is the least time after which a refused request may come back.
 	minReturn = 50 * time.Millisecond
 	// minCount is the decayed number of requests below which a workspace is forgotten.
@@ -49,6 +46,10 @@
 // Ticket is a request that needs a token of its workspace.
 type Ticket struct {
 	Workspace string
+	// MaxHold is how long the request waits, after banks have refused it, for a token
+	// that it can expect by then. To refuse it would cost its caller a connection and a
+	// round trip.
+	MaxHold time.Duration
 	// Decided is called once, with the time after which a request that was not granted
 	// may come back.
 	Decided func(v Verdict, after time.Duration)
@@ -319,8 +320,8 @@
 }
 
 // refuse refuses the waiting requests of a workspace if no bank is left to ask and none
-// has a question to answer, except those that a bank will soon have a token for. It
-// reports whether there is no bank to ask.
+// has a question to answer, except those that can expect a token soon. It reports whether
+// there is no bank to ask.
 func (h *Holder) refuse(now time.Duration, s *space) bool {
 	if h.best(now, s) != "" {
 		return false
@@ -344,7 +345,10 @@
 	waiting := s.waiting
 	s.waiting = nil
 	for _, t := range waiting {
-		if verdict == Limited && first <= t.askedAt+holdTime {
+		// While many hosts lack tokens, each gets its next one late, however soon a
+		// bank has one.
+		expected := max(first, now+time.Duration(len(s.waiting)+1)*pace)
+		if verdict == Limited && expected <= t.askedAt+t.MaxHold {
 			s.waiting = append(s.waiting, t)
 			continue
 		}
--- a/core/agatequota/quota_test.go
+++ b/core/agatequota/quota_test.go
@@ -152,7 +152,7 @@
 func (n *network) request(h *testHost, workspace string) {
 	askedAt, decided := n.now, false
 	n.asked[workspace]++
-	t := &agatequota.Ticket{Workspace: workspace}
+	t := &agatequota.Ticket{Workspace: workspace, MaxHold: 300 * time.Millisecond}
 	t.Decided = func(v agatequota.Verdict, _ time.Duration) {
 		decided = true
 		n.latest = max(n.latest, n.now-askedAt)
--- a/io/agatefront/quota.go
+++ b/io/agatefront/quota.go
@@ -19,6 +19,9 @@
 	// It covers a question to each of two replicas in other regions, one of which is
 	// silent.
 	quotaTimeout = 600 * time.Millisecond
+	// maxQuotaHold is the longest time for which a request waits for a token after all
+	// replicas have refused it one.
+	maxQuotaHold = 300 * time.Millisecond
 	// quotaTickInterval is how often the host looks for questions without an answer.
 	quotaTickInterval = 100 * time.Millisecond
 )
@@ -55,7 +58,7 @@
 		return reply{}, true // the host that forwarded the request has taken a token
 	}
 	decided := make(chan verdict, 1)
-	t := &agatequota.Ticket{Workspace: w.Name, Decided: func(v agatequota.Verdict, after time.Duration) { decided <- verdict{v, after} }}
+	t := &agatequota.Ticket{Workspace: w.Name, MaxHold: p.maxHold(), Decided: func(v agatequota.Verdict, after time.Duration) { decided <- verdict{v, after} }}
 	p.f.quotas.take(t)
 	v := p.f.quotas.await(p, t, decided)
 	switch v.Verdict {
@@ -68,6 +71,15 @@
 	return reply{status: http.StatusServiceUnavailable, retryAfter: max(v.after, defaultRetryAfter), reason: reasonNoQuota}, false
 }
 
+// maxHold is how long the request may wait for a token that it can expect by then: little
+// of the time in which its response is worth most.
+func (p *proxyRequest) maxHold() time.Duration {
+	if p.route.Target <= 0 {
+		return maxQuotaHold
+	}
+	return min(maxQuotaHold, p.route.Target/4)
+}
+
 // refundToken gives the token back if the request has not run.
 func (p *proxyRequest) refundToken() {
 	if p.token == nil || p.mayHaveRun || p.via != "" {
