agatequota: a request is refused once each bank has refused it

A request is now decided by what each bank has said since it came, and while many hosts lack tokens, each is told when its turn comes.

--- a/core/agatequota/bank.go
+++ b/core/agatequota/bank.go
@@ -26,6 +26,9 @@
 	// long a host that was denied a token counts among those that share them.
 	expiryInterval = 100 * time.Millisecond
 	deniedPeriod   = time.Second
+	// crowd is the number of denied hosts up to which the next token may be for any of
+	// them. With more, each is told to ask when its turn comes, which bounds the asks.
+	crowd = 4
 )
 
 // BankConfig configures a Bank.
@@ -181,6 +184,9 @@
 			g.Wait = max(time.Millisecond, seconds(max(0, 1-a.level)/(a.share*refill)))
 		}
 		g.Pace = seconds(float64(len(a.deniedAt)) / refill)
+		if len(a.deniedAt) > crowd {
+			g.Wait = max(g.Wait, g.Pace)
+		}
 	}
 	return g
 }
--- a/core/agatequota/holder.go
+++ b/core/agatequota/holder.go
@@ -90,11 +90,11 @@
 	until           time.Duration
 	spent, returned int // not reported yet
 	asked           int // tokens that waiting requests need, in a question without an answer
-	// refusedUntil is when the bank may be asked again, and promisedAt when it expects to
-	// have tokens, if it knows the workspace.
-	refusedUntil, promisedAt time.Duration
-	pace                     time.Duration // as in Grant
-	known                    bool
+	// refusedAt is when the bank last had too few tokens, and refusedUntil when it may be
+	// asked again. promisedAt and pace are its Wait and Pace then, if it knows the
+	// workspace.
+	refusedAt, refusedUntil, promisedAt, pace time.Duration
+	known                                     bool
 }
 
 // NewHolder returns a Holder without tokens.
@@ -138,7 +138,8 @@
 	}
 	t.askedAt = now
 	s.waiting = append(s.waiting, t)
-	if h.refuse(now, s) {
+	h.refuse(now, s)
+	if len(s.waiting) == 0 {
 		return nil
 	}
 	return h.ask(now, s)
@@ -254,6 +255,7 @@
 		t.Decided(Granted, 0)
 	}
 	if g.Wait > 0 {
+		hd.refusedAt = now
 		hd.refusedUntil = now + min(max(g.Wait, minRefusal), maxRefusal)
 		hd.promisedAt, hd.pace = now+g.Wait, g.Pace
 		hd.known = !g.Unknown
@@ -285,7 +287,8 @@
 // is none.
 func (h *Holder) due(now time.Duration) (banks []string) {
 	for _, s := range h.spaces {
-		if len(s.waiting) == 0 || h.refuse(now, s) {
+		h.refuse(now, s)
+		if len(s.waiting) == 0 {
 			continue
 		}
 		for _, bank := range h.ask(now, s) {
@@ -319,42 +322,45 @@
 	return ""
 }
 
-// refuse refuses the waiting requests of a workspace if no bank is left to ask and none
-// has a question to answer, except those that can expect a token soon. It reports whether
-// there is no bank to ask.
-func (h *Holder) refuse(now time.Duration, s *space) bool {
-	if h.best(now, s) != "" {
-		return false
-	}
-	verdict, first, pace := Unknown, time.Duration(math.MaxInt64), time.Duration(0)
-	for _, bank := range h.order {
-		hd := s.holdings[bank]
-		switch {
-		case hd == nil:
-		case hd.asked > 0:
-			return false
-		case hd.known && now < hd.refusedUntil:
-			verdict = Limited
-			first = min(first, hd.promisedAt)
-			pace = max(pace, hd.pace)
-		}
-	}
-	if verdict == Unknown {
-		first = now + silentPeriod
-	}
+// refuse decides on the waiting requests of a workspace for which no bank is left to ask,
+// except those that can expect a token soon.
+func (h *Holder) refuse(now time.Duration, s *space) {
 	waiting := s.waiting
 	s.waiting = nil
 	for _, t := range waiting {
+		verdict, first, pace := h.judge(now, s, t)
 		// While many hosts lack tokens, each gets its next one late, however soon a
 		// bank has one.
 		expected := max(first, now+time.Duration(len(s.waiting)+1)*pace)
-		if verdict == Limited && expected <= t.askedAt+t.MaxHold {
+		if verdict == Granted || verdict == Limited && expected <= t.askedAt+t.MaxHold {
 			s.waiting = append(s.waiting, t)
 			continue
 		}
 		t.Decided(verdict, s.returnAfter(now, first, pace))
 	}
-	return true
+}
+
+// judge returns Granted while a bank may still lend a token for a request, and otherwise
+// the verdict, with the time at which a bank has a token and the pace of this host's.
+func (h *Holder) judge(now time.Duration, s *space, t *Ticket) (v Verdict, first, pace time.Duration) {
+	v, first = Unknown, now+silentPeriod
+	for _, bank := range h.order {
+		if now < h.banks[bank].silentUntil {
+			continue
+		}
+		hd := s.holdings[bank]
+		refused := hd != nil && (hd.refusedAt >= t.askedAt || now < hd.refusedUntil && hd.asked == 0)
+		switch {
+		case !refused:
+			return Granted, 0, 0
+		case !hd.known:
+		case v == Unknown:
+			v, first, pace = Limited, hd.promisedAt, hd.pace
+		default:
+			first, pace = min(first, hd.promisedAt), max(pace, hd.pace)
+		}
+	}
+	return v, first, pace
 }
 
 // returnAfter returns when the next refused request may come back: not before the first
--- a/core/agatequota/quota_test.go
+++ b/core/agatequota/quota_test.go
@@ -27,6 +27,8 @@
 	refused   map[string]int
 	unknown   map[string]int
 	latest    time.Duration // longest time until a verdict
+	// refusedAfter are the times until the verdict of refused requests.
+	refusedAfter []time.Duration
 }
 
 type testBank struct {
@@ -161,6 +163,7 @@
 			n.spent[workspace] = append(n.spent[workspace], n.now)
 		case agatequota.Limited:
 			n.refused[workspace]++
+			n.refusedAfter = append(n.refusedAfter, n.now-askedAt)
 		default:
 			n.unknown[workspace]++
 		}
@@ -383,3 +386,28 @@
 		h.Take(now, t)
 	}
 }
+
+// Guards against requests of a workspace far beyond its limit that wait without a
+// verdict, because each bank that refuses is asked again before the last one has, and
+// against tokens that are then left over.
+func TestWorkspaceBeyondItsLimit(t *testing.T) {
+	limits := []agatequota.Limit{{Workspace: "hot", Rate: 300, Burst: 300}}
+	n := newNetwork(1, 5, 74, limits)
+	for range 5 * int(time.Second/stepTime) {
+		n.step()
+	}
+	start := n.now
+	for range 8 * int(time.Second/stepTime) {
+		n.step()
+		for range 8 * 300 * int(stepTime) / int(time.Second) {
+			n.request(n.hosts[n.rng.IntN(len(n.hosts))], "hot")
+		}
+	}
+	assert.Equal(t, n.unknown["hot"], 0)
+	assert.Assert(t, n.latest < waitTime, "decided after %s", n.latest)
+	slices.Sort(n.refusedAfter)
+	median := n.refusedAfter[len(n.refusedAfter)/2]
+	assert.Assert(t, median <= 100*time.Millisecond, "half of the refusals come after %s", median)
+	allowed := limits[0].Rate*(n.now-start).Seconds() + limits[0].Burst
+	assert.Assert(t, float64(len(n.spent["hot"])) >= allowed, "%d served, %.0f allowed", len(n.spent["hot"]), allowed)
+}
