agatequota: far banks are asked before a near one that refused is asked again

Banks that have not refused since the oldest waiting request came now go first, and while many hosts lack tokens a refusal holds for a quarter of a second.

--- a/core/agatequota/bank.go
+++ b/core/agatequota/bank.go
@@ -27,8 +27,10 @@
 	expiryInterval = 100 * time.Millisecond
 	deniedPeriod   = time.Second
 	// crowd is the number of denied hosts up to which the next token may be for any of
-	// them. With more, each is told to ask when its turn comes, which bounds the asks.
-	crowd = 4
+	// them. With more, each is told to ask when its turn comes, and not before crowdWait:
+	// it can then tell that no bank has tokens, and asks are bounded.
+	crowd     = 4
+	crowdWait = maxRefusal
 )
 
 // BankConfig configures a Bank.
@@ -185,7 +187,7 @@
 		}
 		g.Pace = seconds(float64(len(a.deniedAt)) / refill)
 		if len(a.deniedAt) > crowd {
-			g.Wait = max(g.Wait, g.Pace)
+			g.Wait = max(g.Wait, g.Pace, crowdWait)
 		}
 	}
 	return g
--- a/core/agatequota/holder.go
+++ b/core/agatequota/holder.go
@@ -309,17 +309,22 @@
 	return []string{bank}
 }
 
-// best is the nearest bank that may have tokens of a workspace, or "".
+// best is the nearest bank that may have tokens of a workspace, or "". Banks that have not
+// refused any since the oldest waiting request came go first: a near one whose refusal has
+// passed would otherwise be asked again and again before the far ones.
 func (h *Holder) best(now time.Duration, s *space) string {
+	again := ""
 	for _, bank := range h.order {
-		if now < h.banks[bank].silentUntil {
-			continue
-		}
-		if hd := s.holdings[bank]; hd == nil || now >= hd.refusedUntil {
+		hd := s.holdings[bank]
+		switch {
+		case now < h.banks[bank].silentUntil || hd != nil && now < hd.refusedUntil:
+		case hd == nil || len(s.waiting) == 0 || hd.refusedAt < s.waiting[0].askedAt:
 			return bank
+		case again == "":
+			again = bank
 		}
 	}
-	return ""
+	return again
 }
 
 // refuse decides on the waiting requests of a workspace for which no bank is left to ask,
--- a/core/agatequota/quota_test.go
+++ b/core/agatequota/quota_test.go
@@ -107,7 +107,8 @@
 	}
 }
 
-// ask sends a question and its answer, each after up to 25 ms, unless one of both is cut
+// ask sends a question and its answer, each after 1 to 5 ms, or 20 ms more to a bank that is
+// far, unless one of both is cut
 // off, frozen or down at either end of the way.
 func (n *network) ask(h *testHost, b *testBank) {
 	askedAt, holder, bank, run := n.now, h.holder, b.bank, b.run
@@ -136,7 +137,10 @@
 	if n.now < h.cut[b.id] {
 		return
 	}
-	delay := time.Duration(1+n.rng.IntN(25)) * time.Millisecond
+	delay := time.Duration(1+n.rng.IntN(4)) * time.Millisecond
+	if n.far(h, b) {
+		delay += 20 * time.Millisecond
+	}
 	n.messages = append(n.messages, message{n.now + delay, func() {
 		if n.now >= h.cut[b.id] {
 			apply()
@@ -144,6 +148,11 @@
 	}})
 }
 
+// far reports whether a bank is not the nearest one of a host.
+func (n *network) far(h *testHost, b *testBank) bool {
+	return slices.Index(n.hosts, h)%len(n.banks) != slices.Index(n.banks, b)
+}
+
 func (n *network) sendAll(h *testHost, banks []string) {
 	for _, bank := range banks {
 		n.send(h, bank)
@@ -391,7 +400,7 @@
 // verdict, because each bank that refuses is asked again before the last one has, and
 // against tokens that are then left over.
 func TestWorkspaceBeyondItsLimit(t *testing.T) {
-	limits := []agatequota.Limit{{Workspace: "hot", Rate: 300, Burst: 300}}
+	limits := []agatequota.Limit{{Workspace: "hot", Rate: 900, Burst: 900}}
 	n := newNetwork(1, 5, 74, limits)
 	for range 5 * int(time.Second/stepTime) {
 		n.step()
@@ -399,7 +408,7 @@
 	start := n.now
 	for range 8 * int(time.Second/stepTime) {
 		n.step()
-		for range 8 * 300 * int(stepTime) / int(time.Second) {
+		for range 8 * 900 * int(stepTime) / int(time.Second) {
 			n.request(n.hosts[n.rng.IntN(len(n.hosts))], "hot")
 		}
 	}
