agatebalance: less urgent requests are rejected at their upstream, not sent on

Cause: a less urgent request for which the queue of its object's upstream was too long went to another one, which did not have the object cached and took three times as long for it, so the order by urgency cost all kinds.

--- a/core/agatebalance/candidate.go
+++ b/core/agatebalance/candidate.go
@@ -134,9 +134,8 @@
 		x.pausedCount++
 	case x.now.Add(seconds(c.expectedSeconds)).After(x.r.Deadline):
 		x.lateCount++
-	case !idle && (c.load+1/c.u.slots() > x.maxLoad || c.cachedSeconds > x.maxSeconds()):
-		x.minBusySeconds = min(x.minBusySeconds, c.cachedSeconds)
-		x.busyCount++
+	case !idle && (c.load+1/c.u.slots() > maxLoadPerSlot || c.cachedSeconds > x.maxSeconds()):
+		x.countBusy(c)
 	case x.r.AffinityKey != 0 && c.position >= preferredCount && (c.load > fallbackMaxLoad || x.meanLoad > fallbackMaxLoad):
 		x.busyCount++
 	case !x.t.warmupAllows(x.now, c.u, x.s):
@@ -149,12 +148,18 @@
 	return false
 }
 
+// countBusy counts an upstream that has no room.
+func (x *search) countBusy(c *candidate) {
+	x.minBusySeconds = min(x.minBusySeconds, c.cachedSeconds)
+	x.busyCount++
+}
+
 // maxSeconds is the largest expected latency of a request that is queued.
 func (x *search) maxSeconds() float64 {
 	if x.r.Target.IsZero() {
-		return x.urgentSeconds
+		return math.Inf(1)
 	}
-	return min(x.urgentSeconds, x.targetMultiple*x.r.Target.Sub(x.now).Seconds())
+	return x.targetMultiple * x.r.Target.Sub(x.now).Seconds()
 }
 
 // rttSeconds is the round-trip time to the upstream in seconds, or a default if
--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -168,6 +168,10 @@
 	x.setUrgency()
 	x.collectCandidates()
 	c := x.choose()
+	if c != nil && x.keepsRoom(c) {
+		x.countBusy(c)
+		c = nil
+	}
 	if c == nil {
 		return x.reject()
 	}
--- a/core/agatebalance/urgency.go
+++ b/core/agatebalance/urgency.go
@@ -89,8 +89,8 @@
 }
 
 // setUrgency bounds the latency and the length of a queue for the request so that more
-// urgent requests can still join it. Requests without a workspace have no such bound: their plan
-// states no order of workspaces.
+// urgent requests can still join it. Requests without a workspace have no such bound:
+// their plan states no order of workspaces.
 func (x *search) setUrgency() {
 	if x.r.Workspace == nil {
 		return
@@ -109,6 +109,16 @@
 	x.maxLoad = share * maxLoadPerSlot
 }
 
+// keepsRoom reports whether the room at the chosen upstream is kept for more urgent
+// requests. The request is then rejected, and not sent to another upstream: that one
+// does not have its object cached, and would take longer for it.
+func (x *search) keepsRoom(c *candidate) bool {
+	if c.load < 1 {
+		return false // a slot is free
+	}
+	return c.load+1/c.u.slots() > x.maxLoad || c.cachedSeconds > x.urgentSeconds
+}
+
 // exempt selects a fixed part of all requests by their ids.
 func exempt(id string) bool {
 	return float64(xxhash.Sum64String(id)%1000) < 1000*exemptShare
