agatequota: a bank that restarts lends only what the tolerance has for it

Cause: for the time of a lease after its start, a bank kept its level below a quarter of the tolerance, but what it lent did not count, so hosts that hold what they get could have a second capacity: 1,414 requests in a window of 5 s where 1,340 are allowed, in TestBanksHoldAgainstHoarding, which takes all that banks lend, restarts them and spends everything at once. Now both count.

--- a/core/agatequota/bank.go
+++ b/core/agatequota/bank.go
@@ -123,11 +123,11 @@
 
 // maxLevel is the number of tokens that an account may have now.
 func (b *Bank) maxLevel(now time.Duration, a *account) float64 {
-	level := max(0, a.share*b.cfg.Tolerance.capacity(a.limit)-float64(a.outstanding))
+	capacity := b.cfg.Tolerance.capacity(a.limit)
 	if now-a.createdAt < LeaseTime {
-		return min(level, a.share*b.cfg.Tolerance.restartCapacity(a.limit))
+		capacity = b.cfg.Tolerance.restartCapacity(a.limit)
 	}
-	return level
+	return max(0, a.share*capacity-float64(a.outstanding))
 }
 
 // settle collects the tokens since the last call and ends expired leases.
--- a/core/agatequota/quota.go
+++ b/core/agatequota/quota.go
@@ -71,8 +71,8 @@
 // capacity is the number of tokens that may be there at once, at banks and hosts.
 func (t Tolerance) capacity(l Limit) float64 { return max(1, l.Burst/2+t.excess(l)/4) }
 
-// restartCapacity is the part of it that banks may have whose earlier process may have
-// lent the others.
+// restartCapacity is the number of tokens that may be there besides, at and from banks
+// whose earlier processes may have lent all others.
 func (t Tolerance) restartCapacity(l Limit) float64 { return t.excess(l) / 4 }
 
 // refill is the number of tokens collected per second.
--- a/core/agatequota/quota_test.go
+++ b/core/agatequota/quota_test.go
@@ -420,3 +420,89 @@
 	allowed := limits[0].Rate*(n.now-start).Seconds() + limits[0].Burst
 	assert.Assert(t, float64(len(n.spent["hot"])) >= allowed, "%d served, %.0f allowed", len(n.spent["hot"]), allowed)
 }
+
+// Guards against tokens that are lent twice. Hosts take all that they get and hold it
+// until their leases end, banks restart, and then all hosts spend everything at once and
+// what they get from then on.
+func TestBanksHoldAgainstHoarding(t *testing.T) {
+	limit := agatequota.Limit{Workspace: "w", Rate: 200, Burst: 200}
+	type held struct {
+		tokens, spent int
+		until         time.Duration
+	}
+	for seed := range uint64(20) {
+		n := newNetwork(seed, 5, 0, []agatequota.Limit{limit})
+		surge := n.now + 8*time.Second + time.Duration(n.rng.IntN(2000))*time.Millisecond
+		holdings := map[string]*held{}
+		for ; n.now < surge+6*time.Second; n.now += stepTime {
+			if n.now < surge && n.rng.Float64() < 2*stepTime.Seconds() {
+				n.startBank(n.banks[n.rng.IntN(len(n.banks))])
+			}
+			if seed%2 == 0 && n.now/stepTime == (surge-700*time.Millisecond)/stepTime {
+				for _, b := range n.banks {
+					n.startBank(b) // all at once, just before
+				}
+			}
+			b := n.banks[n.rng.IntN(len(n.banks))]
+			host := strconv.Itoa(n.rng.IntN(12))
+			hd := holdings[host+b.name()]
+			if hd == nil {
+				hd = &held{}
+				holdings[host+b.name()] = hd
+			}
+			ask := agatequota.Ask{Workspace: "w", Need: 50, Want: 50}
+			if n.now >= surge {
+				for _, hd := range holdings {
+					if n.now < hd.until {
+						n.spend("w", hd.tokens)
+						hd.spent += hd.tokens
+					}
+					hd.tokens = 0
+				}
+				ask.Spent = hd.spent
+				hd.spent = 0
+			}
+			g := b.bank.Lend(n.now, host, ask)
+			switch {
+			case n.now >= surge:
+				n.spend("w", g.Tokens)
+				hd.spent += g.Tokens
+			case n.now >= hd.until:
+				hd.tokens = g.Tokens
+			default:
+				hd.tokens += g.Tokens
+			}
+			if g.Tokens > 0 {
+				hd.until = n.now + agatequota.LeaseTime
+			}
+		}
+		worst, allowed := n.worstWindow(limit)
+		assert.Assert(t, float64(worst) <= allowed, "seed %d: %d in a window, %.1f allowed", seed, worst, allowed)
+	}
+}
+
+func (n *network) spend(workspace string, tokens int) {
+	for range tokens {
+		n.spent[workspace] = append(n.spent[workspace], n.now)
+	}
+}
+
+// Guards against tokens that a host spends after the bank has lent them to others: a lease
+// counts from the question.
+func TestHolderHeedsTheLease(t *testing.T) {
+	for _, after := range []time.Duration{agatequota.LeaseTime - time.Millisecond, agatequota.LeaseTime} {
+		h := agatequota.NewHolder()
+		askedAt := time.Minute
+		h.SetBanks(askedAt, []string{"bank"})
+		var verdicts []agatequota.Verdict
+		take := func(now time.Duration) {
+			h.Take(now, &agatequota.Ticket{Workspace: "w", Decided: func(v agatequota.Verdict, _ time.Duration) { verdicts = append(verdicts, v) }})
+		}
+		take(askedAt)
+		h.Asks(askedAt, "bank")
+		h.Apply(askedAt+100*time.Millisecond, "bank", askedAt, []agatequota.Grant{{Workspace: "w", Tokens: 2}})
+		assert.Equal(t, len(verdicts), 1)
+		take(askedAt + after)
+		assert.Equal(t, len(verdicts) == 2, after < agatequota.LeaseTime)
+	}
+}
