--- a/io/agatefront/conn.go
+++ b/io/agatefront/conn.go
@@ -241,7 +241,7 @@
 		closeAfter: req.Close || !req.ProtoAtLeast(1, 1),
 	}
 	if x.rejected = c.f.rejectUnread(c, x); x.rejected != nil {
-		x.closeAfter = x.closeAfter || hasBody(req)
+		x.closeAfter = true // what follows is the body
 		return x, 0
 	}
 	if status := c.readBody(x, l.MaxBodyBytes); status != 0 {
--- a/io/agatefront/workspace.go
+++ b/io/agatefront/workspace.go
@@ -1,10 +1,6 @@
 package agatefront
 
-import (
-	"net/http"
-
-	"agategate/core/agateplan"
-)
+import "net/http"
 
 // Reasons of replies to requests without a valid key. The values are stable.
 const (
@@ -54,11 +50,11 @@
 	}
 }
 
-// rejectUnread returns the reply to a request whose body need not be read, because its
-// key is unknown.
+// rejectUnread returns the reply to a request with a body that need not be read, because
+// its key is unknown.
 func (f *Front) rejectUnread(c *conn, x *exchange) *reply {
 	plan := f.plan.Load()
-	if c.peer || plan == nil || !plan.HasWorkspaces() {
+	if c.peer || plan == nil || !plan.HasWorkspaces() || !hasBody(x.req) {
 		return nil
 	}
 	p := &proxyRequest{f: f, c: c, x: x, path: requestPath(x.req)}
@@ -70,11 +66,9 @@
 }
 
 // workspaceName returns the name of the request's workspace, or "".
-func (p *proxyRequest) workspaceName() string { return workspaceName(p.criteria.Workspace) }
-
-func workspaceName(w *agateplan.Workspace) string {
-	if w == nil {
-		return ""
+func (p *proxyRequest) workspaceName() string {
+	if w := p.criteria.Workspace; w != nil {
+		return w.Name
 	}
-	return w.Name
+	return ""
 }
