--- a/core/agateplan/lint.go
+++ b/core/agateplan/lint.go
@@ -19,12 +19,6 @@
 	return p, doc.Problems(), nil
 }
 
-// Warnings returns what Lint warns of, without lines.
-func (p *Plan) Warnings() (texts []string) {
-	p.lint(func(_ position, text string) { texts = append(texts, text) })
-	return texts
-}
-
 // lint reports what is valid and has no effect, or not the one that it seems to have.
 func (p *Plan) lint(report func(at position, text string)) {
 	p.lintHosts(report)
--- a/core/agatequota/holder.go
+++ b/core/agatequota/holder.go
@@ -1,7 +1,6 @@
 package agatequota
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -73,30 +72,6 @@
 	silentUntil time.Duration
 }
 
-// space is the state of one workspace at a host.
-type space struct {
-	holdings map[string]*holding // by bank
-	waiting  []*Ticket
-	// count is the decayed number of requests of the last rateWindow.
-	count             float64
-	countedAt, usedAt time.Duration
-	aheadAskedAt      time.Duration
-	lastReturn        time.Duration // when the last refused request was told to come back
-}
-
-// holding is what a host has of one bank.
-type holding struct {
-	tokens          int
-	until           time.Duration
-	spent, returned int // not reported yet
-	asked           int // tokens that waiting requests need, in a question without an answer
-	// refusedAt is when the bank last had too few tokens, and refusedUntil when it may be
-	// asked again. promisedAt and pace are its Wait and Pace then, if it knows the
-	// workspace.
-	refusedAt, refusedUntil, promisedAt, pace time.Duration
-	known                                     bool
-}
-
 // NewHolder returns a Holder without tokens.
 func NewHolder() *Holder {
 	return &Holder{banks: map[string]*bankState{}, spaces: map[string]*space{}}
@@ -234,34 +209,6 @@
 	return h.due(now)
 }
 
-func (s *space) apply(now time.Duration, bank string, askedAt time.Duration, g Grant) {
-	hd := s.holding(bank)
-	hd.asked = 0
-	hd.expire(now)
-	if g.Unlimited {
-		for _, t := range s.waiting {
-			t.Decided(Granted, 0)
-		}
-		s.waiting = nil
-		return
-	}
-	if until := askedAt + LeaseTime; g.Tokens > 0 && now < until {
-		hd.tokens += g.Tokens
-		hd.until = until
-	}
-	for len(s.waiting) > 0 && s.spend(now, s.waiting[0]) {
-		t := s.waiting[0]
-		s.waiting = s.waiting[1:]
-		t.Decided(Granted, 0)
-	}
-	if g.Wait > 0 {
-		hd.refusedAt = now
-		hd.refusedUntil = now + min(max(g.Wait, minRefusal), maxRefusal)
-		hd.promisedAt, hd.pace = now+g.Wait, g.Pace
-		hd.known = !g.Unknown
-	}
-}
-
 // Tick looks for questions that were not answered. It returns the banks to ask now.
 func (h *Holder) Tick(now time.Duration) []string {
 	for bank, st := range h.banks {
@@ -333,22 +280,29 @@
 	waiting := s.waiting
 	s.waiting = nil
 	for _, t := range waiting {
-		verdict, first, pace := h.judge(now, s, t)
+		r, final := h.refusalOf(now, s, t)
 		// While many hosts lack tokens, each gets its next one late, however soon a
 		// bank has one.
-		expected := max(first, now+time.Duration(len(s.waiting)+1)*pace)
-		if verdict == Granted || verdict == Limited && expected <= t.askedAt+t.MaxHold {
+		expected := max(r.first, now+time.Duration(len(s.waiting)+1)*r.pace)
+		if !final || r.verdict == Limited && expected <= t.askedAt+t.MaxHold {
 			s.waiting = append(s.waiting, t)
 			continue
 		}
-		t.Decided(verdict, s.returnAfter(now, first, pace))
+		t.Decided(r.verdict, s.returnAfter(now, &r))
 	}
 }
 
-// judge returns Granted while a bank may still lend a token for a request, and otherwise
-// the verdict, with the time at which a bank has a token and the pace of this host's.
-func (h *Holder) judge(now time.Duration, s *space, t *Ticket) (v Verdict, first, pace time.Duration) {
-	v, first = Unknown, now+silentPeriod
+// refusal is what the banks together have said to a request.
+type refusal struct {
+	verdict Verdict       // Limited or Unknown
+	first   time.Duration // when the first bank has a token
+	pace    time.Duration // between two tokens for this host
+}
+
+// refusalOf returns the refusal of a request. It is final once no bank is left that may
+// lend a token for it.
+func (h *Holder) refusalOf(now time.Duration, s *space, t *Ticket) (r refusal, final bool) {
+	r = refusal{verdict: Unknown, first: now + silentPeriod}
 	for _, bank := range h.order {
 		if now < h.banks[bank].silentUntil {
 			continue
@@ -357,23 +311,15 @@
 		refused := hd != nil && (hd.refusedAt >= t.askedAt || now < hd.refusedUntil && hd.asked == 0)
 		switch {
 		case !refused:
-			return Granted, 0, 0
+			return refusal{}, false
 		case !hd.known:
-		case v == Unknown:
-			v, first, pace = Limited, hd.promisedAt, hd.pace
+		case r.verdict == Unknown:
+			r = refusal{verdict: Limited, first: hd.promisedAt, pace: hd.pace}
 		default:
-			first, pace = min(first, hd.promisedAt), max(pace, hd.pace)
+			r.first, r.pace = min(r.first, hd.promisedAt), max(r.pace, hd.pace)
 		}
 	}
-	return v, first, pace
-}
-
-// returnAfter returns when the next refused request may come back: not before the first
-// bank has a token, and in order of arrival, at the pace at which this host gets tokens.
-func (s *space) returnAfter(now, first, pace time.Duration) time.Duration {
-	at := min(max(now+minReturn, first, s.lastReturn+pace), now+MaxWait)
-	s.lastReturn = at
-	return at - now
+	return r, true
 }
 
 func (h *Holder) space(name string) *space {
@@ -384,85 +330,3 @@
 	}
 	return s
 }
-
-func (s *space) holding(bank string) *holding {
-	hd := s.holdings[bank]
-	if hd == nil {
-		hd = &holding{}
-		s.holdings[bank] = hd
-	}
-	return hd
-}
-
-// record counts a request.
-func (s *space) record(now time.Duration) {
-	s.decay(now)
-	s.count++
-	s.usedAt = now
-}
-
-func (s *space) decay(now time.Duration) {
-	s.count *= math.Exp(-max(0, now-s.countedAt).Seconds() / rateWindow.Seconds())
-	s.countedAt = max(s.countedAt, now)
-}
-
-// target is the number of tokens to hold ahead of requests.
-func (s *space) target(now time.Duration) int {
-	s.decay(now)
-	return int(s.count * aheadTime.Seconds() / rateWindow.Seconds())
-}
-
-// lowAt reports whether more tokens should be asked for before a request needs them.
-func (s *space) lowAt(now time.Duration) bool {
-	target := s.target(now)
-	return target > 0 && s.held(now) < (target+1)/2 && now-s.aheadAskedAt >= aheadInterval
-}
-
-// held is the number of tokens of all banks.
-func (s *space) held(now time.Duration) int {
-	n := 0
-	for _, hd := range s.holdings {
-		hd.expire(now)
-		n += hd.tokens
-	}
-	return n
-}
-
-// unasked is the number of waiting requests for which no bank is being asked.
-func (s *space) unasked() int {
-	n := len(s.waiting)
-	for _, hd := range s.holdings {
-		n -= hd.asked
-	}
-	return max(0, n)
-}
-
-// spend spends the token that expires first.
-func (s *space) spend(now time.Duration, t *Ticket) bool {
-	var first *holding
-	for bank, hd := range s.holdings {
-		hd.expire(now)
-		if hd.tokens > 0 && (first == nil || hd.until < first.until) {
-			first = hd
-			t.bank = bank
-		}
-	}
-	if first == nil {
-		return false
-	}
-	first.tokens--
-	first.spent++
-	return true
-}
-
-func (hd *holding) expire(now time.Duration) {
-	if now >= hd.until {
-		hd.tokens, hd.spent, hd.returned = 0, 0, 0
-	}
-}
-
-// forgotten reports whether nothing is left to remember about a workspace.
-func (s *space) forgotten(now time.Duration) bool {
-	s.decay(now)
-	return len(s.waiting) == 0 && s.held(now) == 0 && s.count < minCount
-}
