agatefront, agateplan: streams in a file of their own; words of comments

No behaviour changes. TestNoOrderWithoutWorkspaces shows that requests of plans without workspaces end as those of workspaces that are all alike.

--- a/core/agatebalance/kinds_test.go
+++ b/core/agatebalance/kinds_test.go
@@ -76,10 +76,38 @@
 	}
 }
 
+func newReplay(t *testing.T) *replay {
+	return &replay{t: t, rng: rand.New(rand.NewPCG(1, 1)), now: time.Unix(1000, 0), upstreams: map[string]*replayUpstream{}}
+}
+
+// Guards against another choice for plans without workspaces: under the same load, each
+// request has the same end as with workspaces that are all alike, while a workspace that
+// goes first changes it.
+func TestNoOrderWithoutWorkspaces(t *testing.T) {
+	play := func(workspaces bool, first int) string {
+		p := newReplay(t)
+		p.addUpstreams(10, 4)
+		p.seconds = 5
+		for i, target := range []string{"300ms", "2s"} {
+			k := newKind(t, []string{"k" + strconv.Itoa(i), "rate", "500", "work", "100ms", "target", target})
+			k.workspace.Priority = i * first
+			if !workspaces {
+				k.workspace = nil
+			}
+			p.kinds = append(p.kinds, k)
+		}
+		p.play()
+		a, b := p.kinds[0], p.kinds[1]
+		return fmt.Sprint(a.asked, a.served, a.inTime, b.asked, b.served, b.inTime)
+	}
+	assert.Equal(t, play(false, 0), play(true, 0))
+	assert.Assert(t, play(false, 0) != play(true, 1))
+}
+
 func runReplay(t *testing.T, file string) {
 	text, err := os.ReadFile(file)
 	assert.NilError(t, err)
-	p := &replay{t: t, rng: rand.New(rand.NewPCG(1, 1)), now: time.Unix(1000, 0), upstreams: map[string]*replayUpstream{}}
+	p := newReplay(t)
 	played := false
 	for line := range strings.Lines(string(text)) {
 		line, _, _ = strings.Cut(line, "#")
--- a/core/agateplan/plan.go
+++ b/core/agateplan/plan.go
@@ -64,7 +64,7 @@
 	Services     []Service     `cbor:"2,keyasint"`
 	VirtualHosts []VirtualHost `cbor:"3,keyasint"`
 	Limits       Limits        `cbor:"4,keyasint"`
-	// Workspaces are the tenants whose keys requests must carry, unless their route is
+	// Workspaces hold the keys of which requests must carry one, unless their route is
 	// public. If there are none, requests need no key.
 	Workspaces []Workspace `cbor:"5,keyasint,omitempty"`
 	// Ordinals keeps objects at their upstreams while others are replaced: the control
--- a/core/agateplan/workspace.go
+++ b/core/agateplan/workspace.go
@@ -8,7 +8,8 @@
 	"slices"
 )
 
-// Workspace is a tenant of the deployment. Its callers identify themselves by a key.
+// Workspace is a customer of the deployment with a priority, a limit and regions of its
+// own. Its callers identify themselves by a key.
 type Workspace struct {
 	Name string `cbor:"1,keyasint"`
 	// Keys are the secrets of its callers. A workspace may have none.
--- a/io/agatefront/conn.go
+++ b/io/agatefront/conn.go
@@ -432,14 +432,6 @@
 	return last
 }
 
-// endStream removes a request whose response was passed on while it arrived from the
-// count of requests in flight.
-func (c *conn) endStream() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.inFlight--
-}
-
 func (c *conn) writeReply(x *exchange, last bool) error {
 	if err := c.writeBytes(x.reply.encode(x.req, last, c.f.headers.RequestID)); err != nil || x.reply.stream == nil {
 		return err
@@ -453,32 +445,6 @@
 	return err
 }
 
-var errStreamCut = errors.New("agatefront: the upstream's response ended before its end")
-
-// writeStream writes the parts of a body as they arrive. After an error the connection
-// must be closed, so that the response does not look complete.
-func (c *conn) writeStream(s *bodyStream) error {
-	for {
-		parts, ended, whole := s.take()
-		for _, part := range parts {
-			if err := c.writeBytes(part); err != nil {
-				return err
-			}
-		}
-		switch {
-		case ended && whole:
-			return nil
-		case ended:
-			return errStreamCut
-		}
-		select {
-		case <-s.changed:
-		case <-c.ctx.Done():
-			return c.ctx.Err()
-		}
-	}
-}
-
 // discardQueued drops a request and those queued after it without a reply.
 func (c *conn) discardQueued(x *exchange) {
 	close(x.finished)
--- a/io/agatefront/stream.go
+++ b/io/agatefront/stream.go
@@ -1,6 +1,7 @@
 package agatefront
 
 import (
+	"errors"
 	"net/http"
 	"sync"
 
@@ -94,3 +95,37 @@
 	}
 	return p.x.reply, true
 }
+
+var errStreamCut = errors.New("agatefront: the upstream's response ended before its end")
+
+// writeStream writes the parts of a body as they arrive. After an error the connection
+// must be closed, so that the response does not look complete.
+func (c *conn) writeStream(s *bodyStream) error {
+	for {
+		parts, ended, whole := s.take()
+		for _, part := range parts {
+			if err := c.writeBytes(part); err != nil {
+				return err
+			}
+		}
+		switch {
+		case ended && whole:
+			return nil
+		case ended:
+			return errStreamCut
+		}
+		select {
+		case <-s.changed:
+		case <-c.ctx.Done():
+			return c.ctx.Err()
+		}
+	}
+}
+
+// endStream removes a request whose response was passed on while it arrived from the
+// count of requests in flight.
+func (c *conn) endStream() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight--
+}
