review: a request that crashes one backend again and again is not refused

Cause: io/agatefront reports a crash without the process of the upstream, so the control group takes a second crash under the same id for a report of the first.

--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -32,9 +32,16 @@
 	work    func(path string) (time.Duration, int) // work time and size of the response
 	slots   chan struct{}
 	waiting chan struct{}
-	server  *http.Server
+	// newID is set if each start of the backend has a new id.
+	newID bool
+	// crashes reports whether a request crashes the backend that begins to run it.
+	crashes func(path string) bool
 
 	mu       sync.Mutex
+	server   *http.Server
+	down     bool
+	warmup   time.Time // until when it is cold
+	crashed  []time.Time
 	sequence int
 	// arrived holds the ids of the requests that arrived, with the times.
 	arrived map[string]time.Time
@@ -51,44 +58,94 @@
 			slots: make(chan struct{}, backendSlots), waiting: make(chan struct{}, backendSlots+backendQueue),
 			arrived: map[string]time.Time{}, ran: map[string]int{},
 		}
-		ln, err := net.Listen("tcp", b.address)
-		if err != nil {
+		if err := b.listen(); err != nil {
 			return nil, err
 		}
-		b.server = &http.Server{Handler: http.HandlerFunc(b.serve), IdleTimeout: 10 * time.Second}
-		go b.server.Serve(ln)
 		go b.beat()
 		out = append(out, b)
 	}
 	return out, nil
 }
 
+func (b *backend) listen() error {
+	ln, err := net.Listen("tcp", b.address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(b.serve), IdleTimeout: 10 * time.Second}
+	b.mu.Lock()
+	b.server, b.down = server, false
+	b.mu.Unlock()
+	go server.Serve(ln)
+	return nil
+}
+
+const (
+	downTime = 2 * time.Second
+	coldTime = 3 * time.Second
+)
+
+// crash ends the backend as a crash of its process does. It starts again under its id
+// after downTime, and is cold then.
+func (b *backend) crash() {
+	b.mu.Lock()
+	if b.down {
+		b.mu.Unlock()
+		return
+	}
+	b.down = true
+	b.crashed = append(b.crashed, time.Now())
+	server := b.server
+	b.mu.Unlock()
+	_ = server.Close()
+	time.Sleep(downTime)
+	b.mu.Lock()
+	b.born, b.sequence, b.warmup = time.Now().UnixMilli(), 0, time.Now().Add(coldTime)
+	if b.newID {
+		b.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	}
+	b.mu.Unlock()
+	if err := b.listen(); err != nil {
+		b.d.record.printf("%s cannot start again: %v", b.id, err)
+		return
+	}
+	b.heartbeat()
+}
+
 // beat sends a heartbeat to one control process after the other until one answers.
 func (b *backend) beat() {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
-		hosts := b.d.role("control")
-		rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-		for _, host := range hosts {
-			if b.announce(client, host.ip) {
-				break
-			}
-		}
+		b.heartbeat()
 		time.Sleep(heartbeatEvery)
 	}
 }
 
+func (b *backend) heartbeat() {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	hosts := b.d.role("control")
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	for _, host := range hosts {
+		if b.announce(client, host.ip) {
+			return
+		}
+	}
+}
+
 func (b *backend) announce(client *http.Client, host string) bool {
 	b.mu.Lock()
+	if b.down {
+		b.mu.Unlock()
+		return true // a backend that has crashed sends nothing
+	}
 	b.sequence++
-	sequence := b.sequence
-	b.mu.Unlock()
+	id := b.id
 	body, _ := json.Marshal(map[string]any{
 		"address": b.address, "born": b.born,
 		"info":   map[string]any{"service": "huvo11a", "version": "v1", "zone": b.zone, "slots": backendSlots},
-		"status": map[string]any{"state": "ready", "sequence": sequence, "warmup_left_s": 0},
+		"status": map[string]any{"state": "ready", "sequence": b.sequence, "warmup_left_s": max(0, time.Until(b.warmup).Seconds())},
 	})
-	req, _ := http.NewRequestWithContext(context.Background(), "PUT", fmt.Sprintf("http://%s:%d/api/instances/%s", host, controlPort, b.id), bytes.NewReader(body))
+	b.mu.Unlock()
+	req, _ := http.NewRequestWithContext(context.Background(), "PUT", fmt.Sprintf("http://%s:%d/api/instances/%s", host, controlPort, id), bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
 	if err != nil {
@@ -106,11 +163,14 @@
 		h.Set("X-Request-Id", id)
 	}
 	h.Set("X-Backend-Load", fmt.Sprintf("%d,%d,%d", len(b.slots), max(0, len(b.waiting)-len(b.slots)), backendSlots))
+	b.mu.Lock()
+	own := b.id
+	b.mu.Unlock()
 	if r.URL.Path == "/health" {
-		h.Set("X-Instance-Id", b.id)
+		h.Set("X-Instance-Id", own)
 		return
 	}
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != b.id {
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != own {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -140,6 +200,11 @@
 	b.mu.Lock()
 	b.ran[id]++
 	b.mu.Unlock()
+	if b.crashes != nil && b.crashes(r.URL.Path) {
+		go b.crash()
+		<-r.Context().Done()
+		return
+	}
 	work, size := b.work(r.URL.Path)
 	select {
 	case <-time.After(work):
--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -8,11 +8,19 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
+// requestFor returns the text of a request for an object.
+func requestFor(object, method, path, id string, deadline time.Duration, body string) string {
+	text := request(method, path, id, deadline, body)
+	line, rest, _ := strings.Cut(text, "\r\n")
+	return line + "\r\nX-Affinity-Key: " + object + "\r\n" + rest
+}
+
 // request returns the text of a request.
 func request(method, path, id string, deadline time.Duration, body string) string {
 	length := ""
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -79,7 +79,7 @@
 }
 
 func (d *deployment) portsFree() bool {
-	for host := 1; host <= 12; host++ {
+	for host := 1; host <= 16; host++ {
 		for _, port := range []int{frontPort, controlPort, directoryPort, internalFirst, internalFirst + 1, internalFirst + 2, metricsPort} {
 			ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", d.ip(0, host), port))
 			if err != nil {
@@ -107,11 +107,16 @@
 	}
 }
 
+// entryZones are the zones of the entry hosts, those of one region first.
+var entryZones = []string{
+	"mtl-est", "mtl-ouest", "mtl-est", "mtl-ouest", "qc-limoilou", "sag-chicoutimi", "qc-sainte-foy", "sag-jonquiere",
+}
+
 // addEntries adds n entry hosts.
 func (d *deployment) addEntries(n int) {
-	for i := range n {
+	for i, zone := range entryZones[:n] {
 		d.processes = append(d.processes, &process{
-			d: d, name: fmt.Sprintf("front-%s-1", zones[i]), role: "entry", ip: d.ip(0, 7+i), zone: zones[i], memoryMB: 284,
+			d: d, name: fmt.Sprintf("front-%s-%d", zone, 1+i/2%2), role: "entry", ip: d.ip(0, 7+i), zone: zone, memoryMB: 284,
 		})
 	}
 }
