--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,8 +6,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -56,7 +58,7 @@
 		return failed
 	}
 	defer d.stop()
-	code := cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0")
+	code := runLimited(d, cases[os.Args[1]])
 	for _, p := range d.processes {
 		r.printf("%s: %d starts, peak %d MB, %d kills for memory", p.name, p.starts, p.peakMB, p.memoryKills)
 	}
@@ -64,6 +66,26 @@
 	return code
 }
 
+// maxRun is the longest time that a case may take.
+const maxRun = 116 * time.Second
+
+// runLimited runs a case until it ends, maxRun has passed or the process is told to stop.
+func runLimited(d *deployment, play func(d *deployment, trouble bool) int) int {
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
+	done := make(chan int, 1)
+	go func() { done <- play(d, os.Getenv("TROUBLE") != "0") }()
+	select {
+	case code := <-done:
+		return code
+	case s := <-end:
+		d.record.printf("cannot run: %v", s)
+	case <-time.After(maxRun):
+		d.record.printf("cannot run: not done within %v", maxRun)
+	}
+	return failed
+}
+
 // firstManifest puts the first manifest in force.
 func firstManifest(o *operator, text []byte) bool {
 	status, _ := o.order("PUT", "/api/config", "0", text, 20*time.Second)
