--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,6 @@
 # same version are acknowledged.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/review-standin ] || exit 2
-exec ../../target/review-standin race "$(cd ../.. && pwd)" "$(pwd)"
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE="${TROUBLE:-1}"
+exec ../../target/review-standin race "$TROUBLE" "$(cd ../.. && pwd)" "$(pwd)"
--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -88,3 +89,34 @@
 	time.Sleep(s.pause)
 	return s.r.Read(b[:min(len(b), s.bytes)])
 }
+
+// resolve asks the directory for the entry hosts of a consumer in a zone until it names
+// some, for up to ten seconds.
+func resolve(d *deployment, zone string) []string {
+	end := time.Now().Add(10 * time.Second)
+	for time.Now().Before(end) {
+		for _, p := range d.role("control") {
+			if named := resolveAt(p, zone); len(named) > 0 {
+				return named
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return nil
+}
+
+func resolveAt(p *process, zone string) []string {
+	client := &http.Client{Timeout: time.Second}
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/api/resolve?name=%s&region=%s&zone=%s", p.ip, directoryPort, hostName, regionOf[zone], zone))
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		FrontAddresses []string `json:"front_addresses"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.FrontAddresses
+}
--- a/review/standin/killer.go
+++ b/review/standin/killer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,10 +66,16 @@
 	var lostBefore int64
 	late := 0
 	for i := range tries {
-		host := hosts[i%local]
+		named := resolve(d, entryZones[0])
+		if len(named) != local {
+			d.record.printf("the directory names %v", named)
+			return failed
+		}
+		slices.Sort(named)
+		host := named[i%local]
 		before := crashes(backends)
 		sent := time.Now()
-		status := sendKiller(fmt.Sprintf("%s:%d", host.ip, frontPort))
+		status := sendKiller(host)
 		time.Sleep(time.Until(sent.Add(500 * time.Millisecond)))
 		after := crashes(backends)
 		reached := after > before
@@ -79,7 +86,7 @@
 			third = time.Now()
 			lostBefore = lost.Load()
 		}
-		d.record.printf("try %d at %s: answer %d, reached a backend: %t, %d crashes, %d late retries", i+1, host.name, status, reached, after, late)
+		d.record.printf("try %d at %s: answer %d, reached a backend: %t, %d crashes, %d late retries", i+1, host, status, reached, after, late)
 		time.Sleep(time.Until(sent.Add(interval)))
 	}
 	if !third.IsZero() {
--- a/review/standin/slow.go
+++ b/review/standin/slow.go
@@ -79,7 +79,12 @@
 		d.record.printf("the entry host is not ready")
 		return failed
 	}
-	address := fmt.Sprintf("%s:%d", entry.ip, frontPort)
+	named := resolve(d, entry.zone)
+	if len(named) != 1 {
+		d.record.printf("the directory names %v", named)
+		return failed
+	}
+	address := named[0]
 	var stop atomic.Bool
 	var wg sync.WaitGroup
 	var lost, bought, otherwise atomic.Int64
