agatecontrol: the log of a plan names the revision checked and the one replaced

The log line of a submitted plan named only versions, so it could not tell apart the hypotheses: (1) the plan is checked against one revision and replaces a later one; (2) the id of a change is taken for that of another one; (3) a replica that no longer leads answers from old state; (4) the state machine accepts a base that is not in force.

The line now has the revision that the plan was checked against, the one that the proposed change replaces, and the one that the group answered.

--- a/io/agatecontrol/fleet.go
+++ b/io/agatecontrol/fleet.go
@@ -145,6 +145,10 @@
 	// set only with the outcome PlanNotLeader.
 	Leader netip.AddrPort
 	Reason string
+	// checked is the revision against which the plan was checked, base the one that
+	// the proposed change replaces, and stored the one that the state machine
+	// answered, or 0. They are for the log.
+	checked, base, stored uint64
 }
 
 // ApplyPlan puts a plan in force if base is the version in force. change
@@ -153,7 +157,7 @@
 func (c *Control) ApplyPlan(ctx context.Context, change string, base uint64, doc *agateplan.Document) PlanResult {
 	res := c.applyPlan(ctx, change, base, doc)
 	c.log.Info("plan submitted", "kind", "change", "choice", doc.Plan.Version, "base", base, "change", change,
-		"outcome", int(res.Outcome), "inforce", res.Version, "reason", res.Reason)
+		"outcome", int(res.Outcome), "inforce", res.Version, "checked", res.checked, "replaces", res.base, "stored", res.stored, "reason", res.Reason)
 	return res
 }
 
@@ -161,6 +165,7 @@
 	if _, err := c.leaderReplica(ctx); err != nil {
 		return c.planErrorResult(err)
 	}
+	checked := c.machine.Config().Revision
 	cur, err := c.currentPlan()
 	switch {
 	case errors.Is(err, errHoldsInventory):
@@ -179,18 +184,21 @@
 	}
 	revision := c.machine.Config().Revision
 	res, err := c.propose(ctx, agatestate.Command{Configure: &agatestate.Configure{ChangeID: change, Base: revision, Document: data}})
-	if err != nil {
-		return c.planErrorResult(err)
-	}
-	switch res.Verdict {
-	case agatestate.Accepted:
-		return PlanResult{Outcome: PlanAccepted, Version: doc.Plan.Version}
-	case agatestate.Conflict:
-		return PlanResult{Outcome: PlanConflict, Version: cur.Plan.Version, Reason: "another change was accepted first"}
-	case agatestate.Reused:
-		return PlanResult{Outcome: PlanConflict, Version: cur.Plan.Version, Reason: "the change id was used with another plan"}
+	out := PlanResult{Version: cur.Plan.Version}
+	switch {
+	case err != nil:
+		out = c.planErrorResult(err)
+	case res.Verdict == agatestate.Accepted:
+		out.Outcome, out.Version = PlanAccepted, doc.Plan.Version
+	case res.Verdict == agatestate.Conflict:
+		out.Outcome, out.Reason = PlanConflict, "another change was accepted first"
+	case res.Verdict == agatestate.Reused:
+		out.Outcome, out.Reason = PlanConflict, "the change id was used with another plan"
+	default:
+		out.Outcome, out.Reason = PlanInvalid, res.Verdict.String()
 	}
-	return PlanResult{Outcome: PlanInvalid, Version: cur.Plan.Version, Reason: res.Verdict.String()}
+	out.checked, out.base, out.stored = checked, revision, res.Revision
+	return out
 }
 
 // checkPlan reports whether a plan may replace the one in force. If not, the
