agatecontrol: a plan replaces only the revision that it was checked against

The second change replaced the first one silently; if it had the lower version number, the plan in force went back to an older version than the newest acknowledged one.

Cause: applyPlan read the configuration twice. It checked the operator's version against the first reading, decoded the plan in force and encoded the new one, and then took the revision of a second reading as the base of the compare-and-set. A change that was applied in between was replaced although the check had not seen it. The window is the time to decode and encode, so it grows with the plan.

Fix: one reading, a configReading, holds the document, its revision and whether the change was accepted before, all as of the same command of the log; the base comes from that reading. A change that was accepted before skips the check, so its base is none: it gets its stored result or, if the state machine has dropped its id meanwhile, a conflict. This works because the state machine compares and replaces in one command: whatever is applied after the reading makes the base wrong.

--- a/core/agatestate/config.go
+++ b/core/agatestate/config.go
@@ -101,11 +101,12 @@
 	}
 }
 
-// Accepted reports whether the change with this id was accepted. It returns
-// false for ids that are no longer kept.
-func (m *Machine) Accepted(change string) bool {
+// ConfigFor returns the current configuration, and whether the change with an id was
+// accepted, both as of the same command. accepted is false for ids that are no longer
+// kept.
+func (m *Machine) ConfigFor(change string) (cur ConfigRevision, accepted bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	c := m.config.changes[change]
-	return c != nil && c.result.Verdict == Accepted
+	return m.config.current, c != nil && c.result.Verdict == Accepted
 }
--- a/io/agatecontrol/planops.go
+++ b/io/agatecontrol/planops.go
@@ -75,7 +75,8 @@
 		return agateops.FleetResult{Reply: c.readErrorReply(ctx, err)}
 	}
 	out := agateops.FleetResult{Reply: agateops.Reply{Outcome: agateops.Done}}
-	if doc, err := c.currentPlan(); err == nil {
+	cur := c.readLocalConfig("")
+	if doc, err := cur.plan(); err == nil {
 		out.Version = doc.Plan.Version
 	}
 	d := c.machine.Fleet(0)
