agatecontrol: an inventory cannot replace a plan that was not there when it was checked

A group holds an inventory or a plan, and an inventory is refused while it holds a plan. That was checked against the local state, which a new leader may not have brought up to date, and the change was proposed with the base that the operator named. If that base was the revision of a plan which was applied in between, the inventory replaced the plan.

Fix: the check is made on a confirmed reading, and a base above the revision that was read is not proposed: it was not in force when the change was checked.

Test: TestInventoryReplacesNoPlan. With the comparison of base and reading taken out it fails ("done != conflict: base 1").

--- a/io/agatecontrol/operate.go
+++ b/io/agatecontrol/operate.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"agategate/core/agateplan"
 	"agategate/core/agatequorum"
 	"agategate/core/agatestate"
 	"agategate/io/agateops"
@@ -59,14 +58,21 @@
 
 // proposeInventory proposes an operator's change of the inventory.
 func (c *Control) proposeInventory(ctx context.Context, r agateops.ChangeRequest) agateops.ChangeResult {
-	if agateplan.IsDocument(c.machine.Config().Document) {
+	cur, err := c.readConfig(ctx, r.ChangeID)
+	if err != nil {
+		c.metrics.countChange("failed")
+		return agateops.ChangeResult{Reply: c.readErrorReply(ctx, err)}
+	}
+	return c.replaceInventory(ctx, cur, r)
+}
+
+// replaceInventory puts an inventory in force if the configuration that was read is not
+// a plan, and if the base of the request is in force.
+func (c *Control) replaceInventory(ctx context.Context, cur configReading, r agateops.ChangeRequest) agateops.ChangeResult {
+	if cur.holdsPlan() {
 		return agateops.ChangeResult{Reply: agateops.Reply{Outcome: agateops.Conflict, Reason: reasonHoldsPlan}}
 	}
-	res, err := c.propose(ctx, agatestate.Command{Configure: &agatestate.Configure{
-		ChangeID: r.ChangeID,
-		Base:     r.Base,
-		Document: r.Document,
-	}})
+	res, err := c.replaceConfig(ctx, cur, agatestate.Configure{ChangeID: r.ChangeID, Base: r.Base, Document: r.Document})
 	if err != nil {
 		c.metrics.countChange("failed")
 		return agateops.ChangeResult{Reply: c.errorReply(ctx, err)}
@@ -129,11 +135,11 @@
 
 // configuration returns the newest configuration.
 func (c *Control) configuration(ctx context.Context) agateops.ConfigResult {
-	if _, err := c.leaderReplica(ctx); err != nil {
+	cur, err := c.readConfig(ctx, "")
+	if err != nil {
 		return agateops.ConfigResult{Reply: c.readErrorReply(ctx, err)}
 	}
-	cur := c.machine.Config()
-	if agateplan.IsDocument(cur.Document) {
+	if cur.holdsPlan() {
 		return agateops.ConfigResult{Reply: agateops.Reply{Outcome: agateops.Conflict, Reason: reasonHoldsPlan}}
 	}
 	return agateops.ConfigResult{
--- a/io/agatecontrol/plan_test.go
+++ b/io/agatecontrol/plan_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/poll"
 
 	"agategate/core/agateplan"
+	"agategate/io/agateops"
 	"agategate/io/agatesettings"
 )
 
@@ -115,3 +116,20 @@
 		}
 	}
 }
+
+// Guards against an inventory that replaces a plan: an inventory may name a base that was
+// not in force when it was checked that the group holds no plan.
+func TestInventoryReplacesNoPlan(t *testing.T) {
+	c := startReplica(t)
+	ctx := t.Context()
+	before, err := c.readConfig(ctx, "late")
+	assert.NilError(t, err)
+	assert.Equal(t, c.ApplyPlan(ctx, "first", 0, planOf(1, 1, "first")).Outcome, PlanAccepted)
+	for base := range uint64(2) {
+		res := c.replaceInventory(ctx, before, agateops.ChangeRequest{ChangeID: fmt.Sprint("late-", base), Base: base, Document: []byte("# inventory")})
+		assert.Equal(t, res.Outcome, agateops.Conflict, "base %d", base)
+	}
+	doc, res := c.ReadPlan(ctx)
+	assert.Equal(t, res.Outcome, PlanAccepted, res.Reason)
+	assert.Equal(t, doc.Plan.Version, uint64(1))
+}
