agatequorum, agateheal: a repair holds only for the membership that it was decided on

The healer of a leader decides on a membership ("six voters, one is silent: remove it"), and the change is tried for up to 3 s while it is not yet possible. An operator's change that was committed meanwhile made the group smaller than any decision allowed: four voters, which do not bear a second loss.

Cause: the core checked a change against the newest membership for what is safe at all, but not whether it is the one that the decision was about.

Fix: a change may name the membership for which it was decided; the outcome is Invalid if another one is in effect. The healer names it in all its steps.

Test: TestRepairDecidedOnOtherMembers; before the fix the sixth voter was removed after another one had been ("error is nil").

--- a/core/agateheal/heal.go
+++ b/core/agateheal/heal.go
@@ -122,7 +122,8 @@
 }
 
 // Steps returns the membership changes that a leader may propose, the most urgent
-// first. Once one is accepted, Steps must be called again with the new membership.
+// first. Each holds only for the membership of the view: once one is accepted, Steps
+// must be called again.
 // idAt returns the ID of the replica that runs at an address.
 //
 // A replica whose address is now used by another ID is removed first. Its vote is
@@ -132,7 +133,7 @@
 	var steps []Step
 	for _, m := range v.Members {
 		if m.ID != v.Self && replaced(v.Members, m, idAt) {
-			steps = append(steps, Step{Change: agatequorum.Change{Kind: agatequorum.Remove, ID: m.ID}, Reason: "replaced"})
+			steps = append(steps, Step{Change: agatequorum.Change{Kind: agatequorum.Remove, ID: m.ID, Members: v.Members}, Reason: "replaced"})
 		}
 	}
 	reason := "full-copy"
@@ -142,7 +143,7 @@
 		case !ok:
 			return steps
 		case voters > h.cfg.Voters:
-			return append(steps, Step{Change: agatequorum.Change{Kind: agatequorum.Remove, ID: id}, Reason: "silent"})
+			return append(steps, Step{Change: agatequorum.Change{Kind: agatequorum.Remove, ID: id, Members: v.Members}, Reason: "silent"})
 		}
 		reason = "takes the place of a silent voter"
 	}
@@ -150,7 +151,7 @@
 		if m.Learner {
 			// With a target number of voters, unresponsive voters are removed
 			// later, so every promotion may count as a replacement.
-			change := agatequorum.Change{Kind: agatequorum.Promote, ID: m.ID, Replacing: h.cfg.Voters > 0}
+			change := agatequorum.Change{Kind: agatequorum.Promote, ID: m.ID, Replacing: h.cfg.Voters > 0, Members: v.Members}
 			steps = append(steps, Step{Change: change, Reason: reason})
 		}
 	}
--- a/core/agatequorum/change.go
+++ b/core/agatequorum/change.go
@@ -34,6 +34,9 @@
 	// may become unresponsive until the removal. It has no effect if all voters
 	// are responsive.
 	Replacing bool
+	// Members is the membership for which the change was decided. The outcome is
+	// Invalid if another one is in effect. Nil stands for any membership.
+	Members Members
 }
 
 // ChangeMembers appends a membership change to the log. The new membership takes
@@ -51,6 +54,9 @@
 	case !c.committedInTerm() || latest.index > c.commitIndex:
 		return Busy
 	}
+	if ch.Members != nil && !slices.Equal(ch.Members, latest.members) {
+		return Invalid
+	}
 	next, o := c.applyChange(latest.members, ch)
 	if o != Accepted {
 		return o
--- a/io/agatereplica/replica_test.go
+++ b/io/agatereplica/replica_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"agategate/core/agateheal"
 	"agategate/core/agatequorum"
 	"agategate/io/agatereplica"
 )
@@ -304,3 +305,25 @@
 		assert.ErrorContains(t, err, "agatereplica: decode message")
 	}
 }
+
+// Guards against a group that shrinks below its target: a leader decides to remove the
+// sixth voter, and an operator's removal of another one is committed first.
+func TestRepairDecidedOnOtherMembers(t *testing.T) {
+	run(t, 6, agatereplica.Config{}, func(t *testing.T, g *group) {
+		l := g.leader()
+		view := agateheal.View{Now: time.Now(), Self: l.Status().ID, Term: l.Status().Term, Leader: l.Status().ID, Members: l.Status().Members}
+		healer := agateheal.New(agateheal.Config{Voters: 5})
+		noOther := func(netip.AddrPort) (uint64, bool) { return 0, false }
+		assert.Equal(t, len(healer.Steps(view, noOther)), 0)
+		view.Now = view.Now.Add(time.Minute) // no voter was heard since
+		steps := healer.Steps(view, noOther)
+		assert.Equal(t, len(steps), 1)
+		other := uint64(1)
+		for other == view.Self || other == steps[0].Change.ID {
+			other++
+		}
+		assert.NilError(t, l.Remove(within(time.Second), other))
+		assert.ErrorIs(t, l.Change(within(time.Second), steps[0].Change), agatereplica.ErrInvalidChange)
+		assert.Equal(t, l.Status().Members.VoterCount(), 5)
+	})
+}
