agatecontrol: grants are made in the term in which the replica leads

Role and term were taken from two readings of the replica's status.

Fix: both come from one status, which is an argument.

Test: TestGrantsOnlyInOwnTerm; with the role read from the replica again it fails.

--- a/io/agatecontrol/grant.go
+++ b/io/agatecontrol/grant.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"agategate/core/agateinventory"
+	"agategate/core/agatequorum"
 	"agategate/core/agateshift"
 	"agategate/io/agateops"
+	"agategate/io/agatereplica"
 	"agategate/io/agatewire"
 )
 
@@ -33,7 +35,7 @@
 	g := &c.grantState
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !c.prepareGranter(now) {
+	if !c.prepareGranter(now, c.replica.Load().Status()) {
 		return nil
 	}
 	host := req.Sender.Host
@@ -69,16 +71,16 @@
 
 // prepareGranter creates a granter for a new term and updates it to the newest
 // configuration. It returns false if this replica is not the leader or the
-// configuration cannot be read.
-func (c *Control) prepareGranter(now time.Time) bool {
+// configuration cannot be read. Role and term must be of one status: a replica that
+// loses the leadership between two readings would grant in the term of its successor.
+func (c *Control) prepareGranter(now time.Time, st agatereplica.Status) bool {
 	g := &c.grantState
-	if !c.isLeader() {
+	if st.Role != agatequorum.Leader {
 		return false
 	}
-	term := c.replica.Load().Status().Term
-	if g.granter == nil || g.term != term {
-		g.granter = agateshift.NewGranter(agateshift.Config{ElectedAt: now, Term: term})
-		g.term = term
+	if g.granter == nil || g.term != st.Term {
+		g.granter = agateshift.NewGranter(agateshift.Config{ElectedAt: now, Term: st.Term})
+		g.term = st.Term
 		g.revision = 0
 		g.grants = make(map[grantKey]agateops.Grant)
 	}
