agateupstream: a refusal that is written twice does not speak for a later request

It can happen here, on both kinds of entry host: callers were told "not run" for a request that the upstream ran (REFUSED), and the host sent such a request to a second upstream (TWICE).

Cause: on a kept connection the next response is taken for that of the next request. Its id tells them apart, but a response without an id was accepted unless it was a success on a connection that had named ids before. So a refusal without an id could be repeated on both kinds of host, and for inventories, whose upstreams need not name ids, every refusal could. A refusal with an id could be repeated for a request that is sent again under the same id.

Fix: a refusal without an id ends the use of its connection, as does any other response without one if the connection has named ids before. No such response can then have been on the connection earlier, so the first one is genuine and still proves that the request did not run. A request whose id was refused on a connection is sent on another one. Upstreams that name the id keep their connections; api.md asks for it, and the demo's upstream names it in refusals.

--- a/io/agatedemo/upstream.go
+++ b/io/agatedemo/upstream.go
@@ -116,6 +116,7 @@
 	}
 	u.inFlight.Add(1)
 	defer u.inFlight.Add(-1)
+	w.Header().Set("Agate-Request", r.Header.Get("Agate-Request"))
 	if u.state.Load() == "leaving" {
 		w.Header().Set("Agate-Leaving", "1")
 	}
@@ -137,7 +138,6 @@
 		return
 	}
 	time.Sleep(u.cfg.ServiceTime)
-	w.Header().Set("Agate-Request", r.Header.Get("Agate-Request"))
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answerBody{Upstream: u.cfg.ID, Path: r.URL.Path, Bytes: len(body), Run: n})
 }
--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -34,6 +34,10 @@
 	bytesLeft int64
 	// echoesID is set once a response had the id of its request.
 	echoesID bool
+	// refused holds the requests that were refused last. A request with the same id as
+	// one of them is sent on another connection, because a second copy of the earlier
+	// refusal could not be told from its own.
+	refused recentIDs
 	// peerClosed is set once the peer, not this process, ended the connection.
 	peerClosed bool
 	// closed is set once this process has closed the connection.
--- a/io/agateupstream/exchange.go
+++ b/io/agateupstream/exchange.go
@@ -44,6 +44,11 @@
 	// bodyWritten is then set if it was written completely.
 	writeDone   chan struct{}
 	bodyWritten bool
+	// id is the id of the request, or "".
+	id string
+	// unidentified is set if the response has no id although it could be written once
+	// more and then be taken for the response to a later request.
+	unidentified bool
 	// reusable is set if the connection can carry another request.
 	reusable bool
 }
@@ -139,16 +144,20 @@
 // checkRequestID returns an error if the response has the id of another request, or is
 // a success without an id on a connection whose responses have had one: it may be a
 // second copy of an earlier response.
+//
+// Upstreams may reject a request without naming its id. Such a response is accepted if
+// none like it came on the connection before, and ends the use of the connection. The
+// same holds for a statement that the request was not run if the upstream names no ids
+// at all: a second copy of it would prove something false about the next request.
 func (x *exchange) checkRequestID(resp *http.Response) error {
-	sent := x.header.Get(x.cfg.RequestHeader)
 	got := resp.Header.Get(x.cfg.RequestHeader)
 	switch {
-	case sent == "":
-		return nil
-	case got == "" && x.conn.echoesID && resp.StatusCode < 300:
-		return fmt.Errorf("agateupstream: response to %q without the id of its request", sent)
-	case got != "" && sent != got:
-		return fmt.Errorf("agateupstream: response to request %q instead of %q", got, sent)
+	case got != "" && x.id != "" && x.id != got:
+		return fmt.Errorf("agateupstream: response to request %q instead of %q", got, x.id)
+	case got == "" && x.id != "" && x.conn.echoesID && resp.StatusCode < 300:
+		return fmt.Errorf("agateupstream: response to %q without the id of its request", x.id)
+	case got == "":
+		x.unidentified = x.cfg.NotRun(resp.StatusCode, resp.Header) || (x.id != "" && x.conn.echoesID)
 	}
 	x.conn.echoesID = x.conn.echoesID || got != ""
 	return nil
@@ -176,7 +185,7 @@
 		return x.fail(err)
 	}
 	x.conn.keepAlive = parseKeepAlive(resp.Header)
-	x.reusable = !resp.Close && !closeDelimited && x.conn.buf.Buffered() == 0 && x.requestWritten()
+	x.reusable = !resp.Close && !closeDelimited && !x.unidentified && x.conn.buf.Buffered() == 0 && x.requestWritten()
 	return x.result(resp, body)
 }
 
@@ -226,6 +235,7 @@
 	if x.cfg.NotRun(resp.StatusCode, resp.Header) {
 		r.Kind = Shed
 		r.MayHaveRun = false
+		x.conn.refused.add(x.id)
 	}
 	return r
 }
--- a/io/agateupstream/pool.go
+++ b/io/agateupstream/pool.go
@@ -264,7 +264,15 @@
 		return r
 	}
 	stop := context.AfterFunc(ctx, c.close)
-	x := exchange{ctx: ctx, call: call, conn: c, header: outgoingHeader(call, p.cfg.DeadlineHeader), cfg: &p.cfg, bodies: p.bodies}
+	x := exchange{
+		ctx:    ctx,
+		call:   call,
+		conn:   c,
+		header: outgoingHeader(call, p.cfg.DeadlineHeader),
+		id:     call.Header.Get(p.cfg.RequestHeader),
+		cfg:    &p.cfg,
+		bodies: p.bodies,
+	}
 	r = x.roundTrip()
 	r.RTT = c.rtt
 	x.waitWritten()
@@ -308,7 +316,7 @@
 	if call.Action {
 		activeSince = now.Add(-p.cfg.ActionIdleTimeout)
 	}
-	c, ok = u.acquire(call.Address, activeSince)
+	c, ok = u.acquire(call.Address, activeSince, call.Header.Get(p.cfg.RequestHeader))
 	if !ok {
 		return nil, Result{Kind: Busy, Err: ErrBusy}, false
 	}
--- a/io/agateupstream/pool_test.go
+++ b/io/agateupstream/pool_test.go
@@ -57,6 +57,7 @@
 	assert.Equal(t, s.runs.Load(), int64(1))
 	assert.Assert(t, !r.UpstreamDied)
 	first := s.conns.Load()
+	call.Header = http.Header{"Agate-Request": {"next"}}
 	p.Do(t.Context(), call)
 	if f[7] == "yes" {
 		assert.Equal(t, s.conns.Load(), first)
--- a/io/agateupstream/upstream.go
+++ b/io/agateupstream/upstream.go
@@ -48,10 +48,10 @@
 }
 
 // acquire returns the most recently used idle connection to addr that was active
-// at or after activeSince. If there is none, it reserves a slot for a new connection,
-// closing an idle one if necessary, and returns nil. ok is false if as many
-// connections as allowed are in use.
-func (u *upstreamConns) acquire(addr netip.AddrPort, activeSince time.Time) (c *conn, ok bool) {
+// at or after activeSince and has not refused a request with the same id. If there
+// is none, it reserves a slot for a new connection, closing an idle one if necessary, and
+// returns nil. ok is false if as many connections as allowed are in use.
+func (u *upstreamConns) acquire(addr netip.AddrPort, activeSince time.Time, id string) (c *conn, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for i := len(u.idle) - 1; i >= 0; i-- {
@@ -64,7 +64,7 @@
 			u.closeIdleConn(i)
 			continue
 		}
-		if c.lastActivity.Before(activeSince) {
+		if c.lastActivity.Before(activeSince) || (id != "" && c.refused.contains(id)) {
 			continue
 		}
 		u.remove(i)
--- /dev/null
+++ b/test/faulty_test.go
@@ -0,0 +1,114 @@
+package test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"agategate/io/agatedemo"
+)
+
+// faultyUpstream answers in ways that no HTTP server produces.
+type faultyUpstream struct {
+	addr netip.AddrPort
+	// answer handles the connection of an entry host.
+	answer func(c net.Conn, br *bufio.Reader)
+
+	mu   sync.Mutex
+	runs map[string]int // by idempotency key
+}
+
+func startFaultyUpstream(t *testing.T) *faultyUpstream {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() }) // an error does not affect the test
+	u := &faultyUpstream{addr: ln.Addr().(*net.TCPAddr).AddrPort(), runs: make(map[string]int)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }() // an error does not affect the test
+				u.answer(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return u
+}
+
+func (u *faultyUpstream) run(r *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs[r.Header.Get("Idempotency-Key")]++
+}
+
+func (u *faultyUpstream) numRuns(key string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[key]
+}
+
+func wholeAnswer(r *http.Request) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAgate-Request: %s\r\nContent-Length: 6\r\n\r\nbought", r.Header.Get("Agate-Request"))
+}
+
+// startFaultySystem starts a system with one entry host, whose upstreams are replaced by
+// a faulty one when the returned function is called.
+func startFaultySystem(t *testing.T) (*agatedemo.System, *faultyUpstream, func()) {
+	t.Helper()
+	u := startFaultyUpstream(t)
+	var faulty atomic.Bool
+	s, err := agatedemo.StartSystem(t.Context(), agatedemo.SystemConfig{
+		Controls: 1, Entries: 1, Upstreams: 6,
+		UpstreamAddr: func(_ string, upstream netip.AddrPort) netip.AddrPort {
+			if faulty.Load() {
+				return u.addr
+			}
+			return upstream
+		},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return s, u, func() { faulty.Store(true) }
+}
+
+// Guards against an action of which the caller is told that it has not run, or that runs
+// at a second upstream, because an upstream wrote an earlier refusal once more.
+func TestEntryRepeatedRefusal(t *testing.T) {
+	const actions = 20
+	s, u, replace := startFaultySystem(t)
+	u.answer = func(c net.Conn, br *bufio.Reader) {
+		const refusal = "HTTP/1.1 503 Service Unavailable\r\nAgate-Shed: before-execution\r\nContent-Length: 0\r\n\r\n"
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, refusal) // the test checks the reply
+		next, err := http.ReadRequest(br)
+		if err != nil {
+			return // the host has closed the connection
+		}
+		u.run(next)
+		_, _ = io.WriteString(c, refusal+wholeAnswer(next)) // the test checks the reply
+		_, _ = io.Copy(io.Discard, br)                      // until the host closes the connection
+	}
+	replace()
+	for n := range actions {
+		key := fmt.Sprint("key-", n)
+		r, err := s.Call(t.Context(), 0, agatedemo.Request{Service: "labels", Method: http.MethodPost, Path: "/labels", Key: key, Body: "parcel"})
+		assert.NilError(t, err)
+		runs := u.numRuns(key)
+		assert.Assert(t, runs <= 1, "%s: %d runs", key, runs)
+		assert.Assert(t, runs == 0 || r.Outcome != "not-run", "%s: %d %s after a run", key, r.Status, r.Outcome)
+	}
+}
