agateupstream, platform, test: an upstream that stops within the head of its response

Report of another operator: callers got a 200 with an empty or short body, framed as whole. It cannot happen here: a head without the empty line that ends it is an error of http.ReadResponse in readHead, and the request counts as one that may have run. Tests at each position of the cut, with and without responses that end with their connection (TestCutAnywhere), and through both kinds of entry host (TestSystem/halt, TestEntryHaltedHead).

--- a/io/agateupstream/soak_test.go
+++ b/io/agateupstream/soak_test.go
@@ -53,12 +53,14 @@
 		io.WriteString(w, answers[i][:n])
 		return false
 	})
-	p := newPool(t, Config{})
-	for i, answer := range answers {
-		for n := range len(answer) + 1 {
-			r := p.Do(t.Context(), get(s.addr, fmt.Sprintf("/%d/%d", i, n)))
-			if whole := n == len(answer); (r.Kind == Answered) != whole || !r.MayHaveRun {
-				t.Errorf("%q is %v", answer[:n], r.Kind)
+	for _, allow := range []bool{false, true} {
+		p := newPool(t, Config{AllowCloseDelimited: allow})
+		for i, answer := range answers {
+			for n := range len(answer) + 1 {
+				r := p.Do(t.Context(), get(s.addr, fmt.Sprintf("/%d/%d", i, n)))
+				if whole := n == len(answer); (r.Kind == Answered) != whole || !r.MayHaveRun {
+					t.Errorf("%q is %v, with responses without a length: %t", answer[:n], r.Kind, allow)
+				}
 			}
 		}
 	}
--- a/test/faulty_test.go
+++ b/test/faulty_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -112,3 +113,32 @@
 		assert.Assert(t, runs == 0 || r.Outcome != "not-run", "%s: %d %s after a run", key, r.Status, r.Outcome)
 	}
 }
+
+// Guards against a success for a response whose head is incomplete: an upstream closes the
+// connection after each part of a line of the head.
+func TestEntryHaltedHead(t *testing.T) {
+	s, u, replace := startFaultySystem(t)
+	var cut atomic.Int64
+	u.answer = func(c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		head, _, _ := strings.Cut(wholeAnswer(r), "\r\n\r\n")
+		lines := strings.SplitAfter(head+"\r\n\r", "\r")
+		end := int(cut.Add(1)) % len(lines)
+		_, _ = io.WriteString(c, strings.Join(lines[:end+1], "")) // the test checks the reply
+	}
+	replace()
+	for n := range 8 {
+		for _, r := range []agatedemo.Request{
+			{Service: "quotes", Path: fmt.Sprint("/quotes/", n)},
+			{Service: "labels", Method: http.MethodPost, Path: "/labels", Key: fmt.Sprint("key-", n), Body: "parcel"},
+		} {
+			got, err := s.Call(t.Context(), 0, r)
+			assert.NilError(t, err)
+			assert.Assert(t, got.Status >= 400, "%s: %d %s", r.Service, got.Status, got.Outcome)
+		}
+	}
+	assert.Assert(t, cut.Load() > 8, "only %d requests reached the upstream", cut.Load())
+}
