agatefront: a request that is passed on after a stop began gets no more time than the host has

Report of another operator: requests that came late in the grace period of a planned stop were passed on and cut at its end without an answer (LOST). The deadline of a request was limited to the end of the stop when the request was read. One that was read before the stop and passed on after it, because it waited behind another one on its connection or is retried, kept the caller's deadline, and its connection was closed while its upstream was at work.

Fix: the limit is applied before each attempt.

--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -196,6 +196,7 @@
 			}
 			p.setService()
 		}
+		p.limitToStop()
 		if r, final := p.forwardAround(); final {
 			return r
 		}
@@ -234,8 +235,7 @@
 
 // setCriteria sets the deadline of the request, its id and its affinity key. The
 // request times out after the shorter of the caller's deadline and the route's
-// timeout, or after defaultTimeout if neither is set, counted from its receipt, and at
-// the end of a planned stop.
+// timeout, or after defaultTimeout if neither is set, counted from its receipt.
 func (p *proxyRequest) setCriteria() {
 	left := time.Duration(0)
 	if ms, err := strconv.ParseFloat(p.x.req.Header.Get(p.f.headers.Deadline), 64); err == nil && ms >= 0 && ms < maxDeadlineMs {
@@ -254,16 +254,21 @@
 	}
 	p.deadline = p.x.received.Add(left)
 	p.workDeadline = p.x.received.Add(workTime)
+	p.criteria.ID = p.id
+	if key := p.x.req.Header.Get(p.f.headers.AffinityKey); key != "" && p.route.Sticky {
+		p.criteria.AffinityKey = xxhash.Sum64String(key) | 1 // never 0, which means no key
+	}
+}
+
+// limitToStop ends the request before the end of a planned stop, which may have begun
+// since the request was read: an upstream gets no more time than the host has.
+func (p *proxyRequest) limitToStop() {
 	if end := p.f.stopEnd.Load(); end != nil {
 		// The response must be back before the host closes the connection.
 		p.deadline = earlier(p.deadline, *end)
 		p.workDeadline = earlier(p.workDeadline, end.Add(-responseGrace))
 	}
-	p.criteria.ID = p.id
 	p.criteria.Deadline = p.workDeadline
-	if key := p.x.req.Header.Get(p.f.headers.AffinityKey); key != "" && p.route.Sticky {
-		p.criteria.AffinityKey = xxhash.Sum64String(key) | 1 // never 0, which means no key
-	}
 }
 
 func earlier(a, b time.Time) time.Time {
