agatefront: every request that a stopping host has read is answered before it closes

The second way in which requests were cut at the end of a planned stop: their deadline and the end of the host were the same moment, so whether the reply to a request at an upstream that does not answer was written before the connection was closed was a race. Requests read before the stop with a deadline beyond its end were always cut.

Fix: at the end, 150 ms before the deadline of the stop, requests without a reply get 504, and the host waits for its connections to close within the reserve that was meant for it. A line of the log names each such request.

--- a/io/agatefront/conn.go
+++ b/io/agatefront/conn.go
@@ -393,15 +393,14 @@
 	defer c.f.conns.remove(c)
 	defer c.closeGracefully()
 	for x := range c.queue {
-		select {
-		case <-x.done:
-		case <-c.ctx.Done():
+		r, ok := c.awaitReply(x)
+		if !ok {
 			c.discardQueued(x)
 			return
 		}
-		last := c.beginReply(x)
-		err := c.writeReply(x, last)
-		if x.reply.stream != nil {
+		last := c.beginReply(x, r)
+		err := c.writeReply(x, r, last)
+		if r.stream != nil {
 			c.endStream()
 		}
 		close(x.finished)
@@ -412,31 +411,51 @@
 	}
 }
 
+// awaitReply waits for the reply to a request. At the end of a planned stop, a request that
+// has none gets the reply that it timed out, so that its caller does not have to guess from
+// the end of the connection. It reports false if the caller has disconnected.
+func (c *conn) awaitReply(x *exchange) (*reply, bool) {
+	select {
+	case <-x.done:
+		return &x.reply, true
+	case <-c.ctx.Done():
+		return nil, false
+	case <-c.f.ending:
+	}
+	select {
+	case <-x.done:
+		return &x.reply, true
+	default:
+	}
+	c.f.log.Info("request answered at the end of the stop", "kind", "stop", "req", x.req.Header.Get(c.f.headers.RequestID))
+	return &reply{status: http.StatusGatewayTimeout, reason: reasonTimeout}, true
+}
+
 // beginReply removes a request from the count of requests in flight and reports
 // whether the connection closes after its reply. During a planned stop, or if
 // another entry host may serve the caller better, it closes after the first
 // reply with no further request queued; a request that arrives later counts as
 // not read.
-func (c *conn) beginReply(x *exchange) bool {
+func (c *conn) beginReply(x *exchange, r *reply) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight--
-	reconnect := x.reply.preferOtherHost && !c.peer || c.f.stopping.Load()
-	last := x.closeAfter || x.reply.close || (reconnect && c.inFlight == 0)
+	reconnect := r.preferOtherHost && !c.peer || c.f.stopping.Load()
+	last := x.closeAfter || r.close || (reconnect && c.inFlight == 0)
 	if last {
 		c.closing = true
 	}
-	if x.reply.stream != nil {
+	if r.stream != nil {
 		c.inFlight++ // until endStream, as the upstream is still at work
 	}
 	return last
 }
 
-func (c *conn) writeReply(x *exchange, last bool) error {
-	if err := c.writeBytes(x.reply.encode(x.req, last, c.f.headers.RequestID)); err != nil || x.reply.stream == nil {
+func (c *conn) writeReply(x *exchange, r *reply, last bool) error {
+	if err := c.writeBytes(r.encode(x.req, last, c.f.headers.RequestID)); err != nil || r.stream == nil {
 		return err
 	}
-	return c.writeStream(x.reply.stream)
+	return c.writeStream(r.stream)
 }
 
 func (c *conn) writeBytes(b []byte) error {
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -169,8 +169,10 @@
 	linksLost                    atomic.Bool  // Table.LinksLost, as of the last change
 	stopping                     atomic.Bool
 	finishing                    atomic.Bool // the host stops, and takes no further requests
-	// stopEnd is when a stopping host closes what is still open, if that is known.
+	// stopEnd is when a stopping host must have answered its requests, if that is known,
+	// and ending is closed then.
 	stopEnd  atomic.Pointer[time.Time]
+	ending   chan struct{}
 	shutdown chan struct{} // closed when a planned stop begins
 
 	conns  conns
@@ -203,6 +205,7 @@
 		headers:  cfg.Headers.withDefaults(),
 		table:    agatebalance.New(cfg.Balance),
 		shutdown: make(chan struct{}),
+		ending:   make(chan struct{}),
 	}
 	f.suspects = newSuspects()
 	f.metrics = newMetrics(f)
@@ -266,17 +269,17 @@
 	// stopPollInterval is how often a stopping host checks for remaining
 	// requests.
 	stopPollInterval = 20 * time.Millisecond
-	// stopReserve is the part of a planned stop's time that is reserved for
-	// closing what is still open. Without a deadline, requests in progress get
-	// this time to end.
+	// stopReserve is the part of a planned stop's time in which the last replies are
+	// written. Without a deadline, requests in progress get this time to end.
 	stopReserve = 150 * time.Millisecond
 )
 
 // Stop shuts the host down gracefully: it notifies the control group and accepts
-// connections and requests for another 2.5 s. Until 150 ms before the deadline of ctx
-// it answers the requests that it has read and closes each connection after its last
-// response; without a deadline it waits 150 ms. Then, or when ctx is done, it
-// closes what is still open. Calls after the first return at once.
+// connections and requests for another 2.5 s. It passes on the responses to the requests
+// that it has read and closes each connection after its last reply, until 150 ms before
+// the deadline of ctx; without a deadline it waits 150 ms. Requests still in progress then
+// get a reply that they timed out. When ctx is done, or after another 150 ms, it closes
+// what is still open. Calls after the first return at once.
 func (f *Front) Stop(ctx context.Context) {
 	start := time.Now()
 	if f.stopping.Swap(true) {
@@ -295,7 +298,10 @@
 	if end := f.stopEnd.Load(); end != nil {
 		left = max(0, time.Until(*end))
 	}
-	f.wait(ctx, left, func() bool { return f.conns.closeIdle() == 0 })
+	allClosed := func() bool { return f.conns.closeIdle() == 0 }
+	f.wait(ctx, left, allClosed)
+	close(f.ending)
+	f.wait(ctx, stopReserve, allClosed)
 	f.log.Info("stopped", "kind", "stop", "open", f.conns.len(), "running", f.conns.numInFlight(), "took", time.Since(start))
 	f.abort()
 }
