agateentry: a planned stop answers the calls that come late, and those still in progress

Fix: a call gets no more time than the host has, also when it is passed on late. Below 200 ms it is refused as not run, so that the caller tries another host. Calls still in progress 150 ms before the end get 504 with the outcome unknown.

--- a/io/agateentry/action.go
+++ b/io/agateentry/action.go
@@ -83,6 +83,9 @@
 	case <-ctx.Done():
 		a.post(a.core.CallerGone)
 		return errorReply(http.StatusGatewayTimeout, outcomeUnknown, "caller-gone", 0)
+	case <-e.ending.Done():
+		a.post(a.core.CallerGone)
+		return errorReply(http.StatusGatewayTimeout, outcomeUnknown, reasonStopping, minRetryAfter)
 	}
 }
 
@@ -223,7 +226,7 @@
 		Header:      a.cl.header,
 		Body:        a.cl.body,
 		Action:      true,
-		Deadline:    a.cl.deadline,
+		Deadline:    a.e.beforeStop(a.cl.deadline),
 		Grace:       a.e.cfg.Settings.Wait.Answer,
 		BeforeWrite: a.beforeWrite,
 		Connected:   func(time.Duration) { a.e.detours.reached(a.cl.service) },
--- a/io/agateentry/call.go
+++ b/io/agateentry/call.go
@@ -46,8 +46,15 @@
 	bodyBudgetBytes = 128 << 20
 	// minRetryAfter is the shortest Retry-After, which is in whole seconds.
 	minRetryAfter = time.Second
+	// minStopTime is the time left before the end of a planned stop below which a host
+	// takes no call: an upstream could not answer it, and the caller has the time to try
+	// another host.
+	minStopTime = 200 * time.Millisecond
 )
 
+// reasonStopping is the reason of replies to calls for which a planned stop leaves no time.
+const reasonStopping = "stopping"
+
 // call is one caller's request.
 type call struct {
 	id         string
@@ -164,7 +171,7 @@
 		body:       body,
 		class:      service.Classify(r.Method, path),
 		arrived:    arrived,
-		deadline:   arrived.Add(remaining),
+		deadline:   e.beforeStop(arrived.Add(remaining)),
 		seenIndex:  e.seenIndex.At(agateclock.Now()),
 	}
 	// An upstream that echoes the id allows detecting a late answer to another
@@ -177,6 +184,10 @@
 		rep := errorReply(http.StatusBadRequest, outcomeNotRun, "idempotency-key", 0)
 		return cl, &rep
 	}
+	if e.draining.Load() && time.Until(cl.deadline) < minStopTime {
+		rep := errorReply(http.StatusServiceUnavailable, outcomeNotRun, reasonStopping, minRetryAfter)
+		return cl, &rep
+	}
 	return cl, nil
 }
 
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -46,8 +46,13 @@
 	"agategate/io/agatewire"
 )
 
-// usageInterval is how often the router publishes capacity and demand.
-const usageInterval = 100 * time.Millisecond
+const (
+	// usageInterval is how often the router publishes capacity and demand.
+	usageInterval = 100 * time.Millisecond
+	// stopReserve is the part of a planned stop's time in which the last replies are
+	// written.
+	stopReserve = 150 * time.Millisecond
+)
 
 // Config sets up an Entry.
 type Config struct {
@@ -83,8 +88,13 @@
 	// peerTableReceived is set once a peer has sent its full upstream table.
 	peerTableReceived atomic.Bool
 	draining          atomic.Bool
-	seenIndex         agateaction.IndexTracker
-	bodyBytes         atomic.Int64
+	// stopEnd is when a stopping host must have answered its calls, if that is known,
+	// and ending is done then.
+	stopEnd   atomic.Pointer[time.Time]
+	ending    context.Context
+	endCalls  context.CancelFunc
+	seenIndex agateaction.IndexTracker
+	bodyBytes atomic.Int64
 	// lastControlReply is the agateclock time at which the control leader last
 	// answered a heartbeat.
 	lastControlReply atomic.Int64
@@ -138,6 +148,7 @@
 		directory: newDirectory(),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.ending, e.endCalls = context.WithCancel(e.ctx)
 	e.inventory.Store(&agateinventory.Inventory{})
 	e.config.Store(&activeConfig{})
 	e.pool = agateupstream.New(agateupstream.Config{
@@ -256,9 +267,16 @@
 // Stop performs a planned stop. Lookups stop naming the host at once. The host
 // serves until the lookup answers that callers have cached have expired and
 // the last request is complete. If ctx ends first, the remaining requests are
-// aborted and an error is returned.
+// aborted and an error is returned. Calls that arrive or are passed on meanwhile get no
+// more time than until 150 ms before the deadline of ctx, and those still in progress then
+// get the answer that their outcome is unknown.
 func (e *Entry) Stop(ctx context.Context) error {
 	start := time.Now()
+	if end, ok := ctx.Deadline(); ok {
+		end = end.Add(-stopReserve)
+		e.stopEnd.Store(&end)
+		defer time.AfterFunc(time.Until(end), e.endCalls).Stop()
+	}
 	e.draining.Store(true)
 	e.log.Info("planned stop", "kind", "drain", "choice", e.cfg.Settings.Name, "reason", "stop")
 	e.exchange.triggerAll()
@@ -287,6 +305,15 @@
 	return err
 }
 
+// beforeStop returns the deadline of work that begins now: the given one or, if it is
+// earlier, the end of a planned stop.
+func (e *Entry) beforeStop(deadline time.Time) time.Time {
+	if end := e.stopEnd.Load(); end != nil && end.Before(deadline) {
+		return *end
+	}
+	return deadline
+}
+
 // Kill stops the host at once, as a crash would. Tests use it.
 func (e *Entry) Kill() { e.abort() }
 
--- a/io/agateentry/forward.go
+++ b/io/agateentry/forward.go
@@ -158,7 +158,7 @@
 		return reply{}, false
 	}
 	for range maxForwards {
-		left := time.Until(cl.deadline)
+		left := time.Until(e.beforeStop(cl.deadline))
 		peer, found := e.choosePeer(time.Now(), query)
 		if !found || left <= 0 {
 			break
--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -40,6 +40,7 @@
 	if cl.class == agateinventory.Read {
 		ctx, cancel := context.WithDeadline(ctx, cl.deadline)
 		defer cancel()
+		defer context.AfterFunc(e.ending, cancel)()
 		return e.read(ctx, cl)
 	}
 	return e.runAction(ctx, cl)
@@ -160,7 +161,7 @@
 		Path:            cl.path,
 		Header:          cl.header,
 		Body:            cl.body,
-		Deadline:        cl.deadline,
+		Deadline:        e.beforeStop(cl.deadline),
 		ReadIdleTimeout: e.silenceTimeout(cl),
 		Connected:       func(time.Duration) { e.detours.reached(cl.service) },
 	})
--- a/test/faulty_test.go
+++ b/test/faulty_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,7 +12,9 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -20,14 +24,15 @@
 // faultyUpstream answers in ways that no HTTP server produces.
 type faultyUpstream struct {
 	addr netip.AddrPort
-	// answer handles the connection of an entry host.
-	answer func(c net.Conn, br *bufio.Reader)
 
 	mu   sync.Mutex
 	runs map[string]int // by idempotency key
 }
 
-func startFaultyUpstream(t *testing.T) *faultyUpstream {
+// faultyAnswer handles one connection of an entry host.
+type faultyAnswer func(u *faultyUpstream, c net.Conn, br *bufio.Reader)
+
+func startFaultyUpstream(t *testing.T, answer faultyAnswer) *faultyUpstream {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -41,7 +46,7 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }() // an error does not affect the test
-				u.answer(c, bufio.NewReader(c))
+				answer(u, c, bufio.NewReader(c))
 			}()
 		}
 	}()
@@ -66,9 +71,9 @@
 
 // startFaultySystem starts a system with one entry host, whose upstreams are replaced by
 // a faulty one when the returned function is called.
-func startFaultySystem(t *testing.T) (*agatedemo.System, *faultyUpstream, func()) {
+func startFaultySystem(t *testing.T, answer faultyAnswer) (*agatedemo.System, *faultyUpstream, func()) {
 	t.Helper()
-	u := startFaultyUpstream(t)
+	u := startFaultyUpstream(t, answer)
 	var faulty atomic.Bool
 	s, err := agatedemo.StartSystem(t.Context(), agatedemo.SystemConfig{
 		Controls: 1, Entries: 1, Upstreams: 6,
@@ -88,8 +93,7 @@
 // at a second upstream, because an upstream wrote an earlier refusal once more.
 func TestEntryRepeatedRefusal(t *testing.T) {
 	const actions = 20
-	s, u, replace := startFaultySystem(t)
-	u.answer = func(c net.Conn, br *bufio.Reader) {
+	s, u, replace := startFaultySystem(t, func(u *faultyUpstream, c net.Conn, br *bufio.Reader) {
 		const refusal = "HTTP/1.1 503 Service Unavailable\r\nAgate-Shed: before-execution\r\nContent-Length: 0\r\n\r\n"
 		if _, err := http.ReadRequest(br); err != nil {
 			return
@@ -102,7 +106,7 @@
 		u.run(next)
 		_, _ = io.WriteString(c, refusal+wholeAnswer(next)) // the test checks the reply
 		_, _ = io.Copy(io.Discard, br)                      // until the host closes the connection
-	}
+	})
 	replace()
 	for n := range actions {
 		key := fmt.Sprint("key-", n)
@@ -117,9 +121,8 @@
 // Guards against a success for a response whose head is incomplete: an upstream closes the
 // connection after each part of a line of the head.
 func TestEntryHaltedHead(t *testing.T) {
-	s, u, replace := startFaultySystem(t)
 	var cut atomic.Int64
-	u.answer = func(c net.Conn, br *bufio.Reader) {
+	s, _, replace := startFaultySystem(t, func(_ *faultyUpstream, c net.Conn, br *bufio.Reader) {
 		r, err := http.ReadRequest(br)
 		if err != nil {
 			return
@@ -128,7 +131,7 @@
 		lines := strings.SplitAfter(head+"\r\n\r", "\r")
 		end := int(cut.Add(1)) % len(lines)
 		_, _ = io.WriteString(c, strings.Join(lines[:end+1], "")) // the test checks the reply
-	}
+	})
 	replace()
 	for n := range 8 {
 		for _, r := range []agatedemo.Request{
@@ -142,3 +145,45 @@
 	}
 	assert.Assert(t, cut.Load() > 8, "only %d requests reached the upstream", cut.Load())
 }
+
+// Guards against requests that come late in a planned stop, are passed on, and are cut off
+// without an answer at its end, because the upstream takes longer than the host has.
+func TestEntryStopAnswersLateRequests(t *testing.T) {
+	const (
+		grace    = 3 * time.Second
+		interval = 100 * time.Millisecond
+	)
+	s, _, replace := startFaultySystem(t, func(_ *faultyUpstream, _ net.Conn, br *bufio.Reader) {
+		_, _ = io.Copy(io.Discard, br) // until the host closes the connection
+	})
+	replace()
+	hosts, _, err := s.Lookup(t.Context(), "quotes", "127.0.0.1")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), grace)
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = s.StopEntry(ctx, 0) // the test checks the replies
+	}()
+	var wg sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		for _, r := range []request{
+			{service: "quotes", method: http.MethodGet, path: fmt.Sprint("/quotes/", n)},
+			{service: "labels", method: http.MethodPost, path: "/labels", key: fmt.Sprint("key-", n), body: "parcel"},
+		} {
+			r.host = hosts[0].CallerAddr
+			wg.Go(func() {
+				got := r.do()
+				if errors.Is(got.err, syscall.ECONNREFUSED) {
+					return // the host takes no more requests
+				}
+				assert.Check(t, got.err, "%s %d", r.service, n)
+				assert.Check(t, got.status != http.StatusOK)
+			})
+		}
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	<-stopped
+}
