--- a/io/agateentry/call.go
+++ b/io/agateentry/call.go
@@ -184,7 +184,7 @@
 		rep := errorReply(http.StatusBadRequest, outcomeNotRun, "idempotency-key", 0)
 		return cl, &rep
 	}
-	if e.draining.Load() && time.Until(cl.deadline) < minStopTime {
+	if end := e.stopEnd.Load(); end != nil && time.Until(*end) < minStopTime {
 		rep := errorReply(http.StatusServiceUnavailable, outcomeNotRun, reasonStopping, minRetryAfter)
 		return cl, &rep
 	}
