--- a/io/agatecontrol/grant.go
+++ b/io/agatecontrol/grant.go
@@ -73,6 +73,7 @@
 // configuration. It returns false if this replica is not the leader or the
 // configuration cannot be read. Role and term must be of one status: a replica that
 // loses the leadership between two readings would grant in the term of its successor.
+// c.grantState.mu must be held.
 func (c *Control) prepareGranter(now time.Time, st agatereplica.Status) bool {
 	g := &c.grantState
 	if st.Role != agatequorum.Leader {
--- a/io/agatecontrol/grant_test.go
+++ b/io/agatecontrol/grant_test.go
@@ -14,6 +14,8 @@
 // new leader, and that of a replica which lost the leadership while it answered a host.
 func TestGrantsOnlyInOwnTerm(t *testing.T) {
 	c := startReplica(t)
+	c.grantState.mu.Lock()
+	defer c.grantState.mu.Unlock()
 	now := time.Now()
 	assert.Assert(t, c.prepareGranter(now, agatereplica.Status{Role: agatequorum.Leader, Term: 5}))
 	assert.Assert(t, !c.prepareGranter(now, agatereplica.Status{Role: agatequorum.Follower, Term: 6}))
