agateupstream: connections with an unanswered request are reset when they are closed

Cause: the connection of an abandoned request was closed in the ordinary way. The system then goes on sending what it has not delivered; behind a cut link that is until the link is back.

Fix: a connection knows whether a request on it is unanswered; the one place that closes connections then resets it, and the system drops the rest. This holds for deadlines, callers that left, copies that lost, responses that cannot be used, the end of a planned stop and requests to other entry hosts.

--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -6,7 +6,7 @@
 	"errors"
 	"net"
 	"net/netip"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
@@ -40,8 +40,13 @@
 	refused recentIDs
 	// peerClosed is set once the peer, not this process, ended the connection.
 	peerClosed bool
+
+	mu sync.Mutex // guards closed and unanswered
 	// closed is set once this process has closed the connection.
-	closed atomic.Bool
+	closed bool
+	// unanswered is set while a request is on the connection whose response has not been
+	// read completely.
+	unanswered bool
 }
 
 func dial(ctx context.Context, d *net.Dialer, addr netip.AddrPort) (*conn, error) {
@@ -73,7 +78,7 @@
 		c.lastActivity = time.Now()
 		c.bytesLeft -= int64(n)
 	}
-	if err != nil && !isTimeout(err) && !c.closed.Load() {
+	if err != nil && !isTimeout(err) && !c.isClosed() {
 		c.peerClosed = true
 	}
 	return n, err
@@ -106,9 +111,44 @@
 	return c.keepAlive > 0 && time.Since(c.lastActivity) > max(0, c.keepAlive-keepAliveMargin)
 }
 
+// beginRequest is called before the first byte of a request is written. It reports false
+// if the connection was closed meanwhile.
+func (c *conn) beginRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = !c.closed
+	return c.unanswered
+}
+
+// endRequest is called when the response to the request has been read completely.
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = false
+}
+
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// close closes the connection. If a request on it is unanswered, it resets the
+// connection, so that the system drops the bytes that it has not delivered: after an
+// ordinary close it would go on sending them, and an upstream behind a slow or broken
+// link would run the request long after it was given up. Calls after the first have no
+// effect.
 func (c *conn) close() {
-	c.closed.Store(true)
-	_ = c.tcp.Close() // nothing depends on a clean close
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	if c.unanswered {
+		_ = c.tcp.SetLinger(0) // without it, the close is an ordinary one
+	}
+	_ = c.tcp.Close() // nothing depends on its result
 }
 
 // isTimeout reports whether err is a timeout. That includes ETIMEDOUT, which the
--- a/io/agateupstream/exchange.go
+++ b/io/agateupstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
 	"net/http"
 	"time"
 )
@@ -89,6 +90,9 @@
 		x.reusable = true
 		return Result{Kind: NotWritten, Err: ErrWriteRejected}, true
 	}
+	if !c.beginRequest() {
+		return x.fail(net.ErrClosed), true
+	}
 	x.writeStart = time.Now()
 	if len(head)+len(x.call.Body) > maxInlineWriteBytes {
 		return x.writeLong(head)
@@ -184,6 +188,7 @@
 	if err != nil {
 		return x.fail(err)
 	}
+	x.conn.endRequest()
 	x.conn.keepAlive = parseKeepAlive(resp.Header)
 	x.reusable = !resp.Close && !closeDelimited && !x.unidentified && x.conn.buf.Buffered() == 0 && x.requestWritten()
 	return x.result(resp, body)
