agatestate, agateclient: hosts learn of a cleared suspect that they missed

Cause: a host keeps the higher number of deaths of a request unless it knows that the record was cleared in between. The control group sent the newest record without the index of its last clearing. A host that was cut off while a request was cleared, and then received a record with a newer death, went on refusing the request, for up to 30 s.

Fix: the state machine keeps the index of the last clearing, and both kinds of entry host receive it.

--- a/core/agatestate/snapshot.go
+++ b/core/agatestate/snapshot.go
@@ -337,6 +337,7 @@
 
 func (m *Machine) restoreSuspect(w snapSuspect) error {
 	s := &suspect{fingerprint: w.Fingerprint, deaths: w.Deaths, countedDeaths: w.CountedDeaths, index: w.Index, changedAt: w.ChangedAt}
+	s.clearedIndex = s.restoredClearedIndex()
 	if p := w.Probe; p != nil {
 		s.probe = &probe{p.Token, p.Holder, p.Process, p.ExpiresAt}
 		m.suspects.probesByUpstream[p.Process.Upstream] = s
--- a/core/agatestate/suspect.go
+++ b/core/agatestate/suspect.go
@@ -19,6 +19,9 @@
 	Deaths int
 	// Index is the log index of the last change.
 	Index uint64
+	// ClearedIndex is the log index at which Deaths was last set to 0, or 0 if it never
+	// was. A host that has not received that change learns of it by a later one.
+	ClearedIndex uint64
 }
 
 // SuspectDelta holds the changes of the suspects after a log index.
@@ -47,9 +50,12 @@
 	// by several hosts count once, also after the suspect was cleared.
 	countedDeaths []upstreamProcess
 	index         uint64
-	changedAt     int64 // state time of the last change, Unix ms
-	probe         *probe
-	elem          *list.Element
+	// clearedIndex is the index of the last clearing. It only serves entry hosts and is
+	// not in snapshots, see restoredClearedIndex.
+	clearedIndex uint64
+	changedAt    int64 // state time of the last change, Unix ms
+	probe        *probe
+	elem         *list.Element
 }
 
 // probe is a probe in progress.
@@ -106,7 +112,7 @@
 		if s.index <= index {
 			break
 		}
-		to = append(to, Suspect{Fingerprint: s.fingerprint, Deaths: s.deaths, Index: s.index})
+		to = append(to, Suspect{Fingerprint: s.fingerprint, Deaths: s.deaths, Index: s.index, ClearedIndex: s.clearedIndex})
 	}
 	slices.Reverse(to[from:])
 	return to
@@ -184,6 +190,20 @@
 	return true
 }
 
+// restoredClearedIndex returns the index of the last clearing as far as a snapshot
+// tells. Versions that do not know clearedIndex refuse snapshots with unknown
+// fields, so it is not stored there. A fingerprint with one death that was counted for
+// more was cleared before that death, and no committed change lies between the two.
+func (s *suspect) restoredClearedIndex() uint64 {
+	switch {
+	case s.deaths == 0:
+		return s.index
+	case s.deaths == 1 && len(s.countedDeaths) > 1:
+		return s.index - 1
+	}
+	return 0
+}
+
 // setDeaths sets the number of deaths and moves the fingerprint to the end of
 // its list.
 func (m *Machine) setDeaths(s *suspect, deaths int) {
@@ -191,6 +211,9 @@
 	all.listOf(s).Remove(s.elem)
 	s.deaths = deaths
 	s.index = m.index
+	if deaths == 0 {
+		s.clearedIndex = m.index
+	}
 	s.changedAt = m.now
 	s.elem = all.listOf(s).PushBack(s)
 	all.newestIndex = m.index
--- a/io/agateclient/suspect.go
+++ b/io/agateclient/suspect.go
@@ -25,6 +25,20 @@
 	return out
 }
 
+// ToWireSuspects encodes the control group's records of suspects.
+func ToWireSuspects(list []agatestate.Suspect) []*agatewire.Suspect {
+	out := make([]*agatewire.Suspect, 0, len(list))
+	for _, s := range list {
+		out = append(out, &agatewire.Suspect{
+			Print:   s.Fingerprint[:],
+			Deaths:  uint32(s.Deaths), // 2 at most
+			Index:   s.Index,
+			Cleared: s.ClearedIndex,
+		})
+	}
+	return out
+}
+
 // ToStateFingerprint converts a fingerprint to the type of the replicated state,
 // which is longer and padded with zeros.
 func ToStateFingerprint(f agatesuspect.Fingerprint) agatestate.Fingerprint {
--- a/io/agatecontrol/service.go
+++ b/io/agatecontrol/service.go
@@ -127,13 +127,7 @@
 	delta := c.machine.SuspectsSince(since)
 	reply.Index = delta.Index
 	reply.Full = delta.Full
-	for _, s := range delta.Suspects {
-		reply.Suspects = append(reply.Suspects, &agatewire.Suspect{
-			Print:  s.Fingerprint[:],
-			Deaths: uint32(s.Deaths),
-			Index:  s.Index,
-		})
-	}
+	reply.Suspects = agateclient.ToWireSuspects(delta.Suspects)
 }
 
 // Config returns the newest configuration.
--- a/io/agatecontrol/watch.go
+++ b/io/agatecontrol/watch.go
@@ -237,9 +237,7 @@
 		w.fillFleet(reply)
 	}
 	delta := c.machine.SuspectsSince(w.suspects)
-	for _, s := range delta.Suspects {
-		reply.Suspects = append(reply.Suspects, &agatewire.Suspect{Print: s.Fingerprint[:], Deaths: uint32(s.Deaths), Index: s.Index})
-	}
+	reply.Suspects = agateclient.ToWireSuspects(delta.Suspects)
 	reply.Index = delta.Index
 	reply.Full = delta.Full
 	w.suspects = max(w.suspects, delta.Index)
