agatefront: the clearing of a harmless suspect is asked for until it has happened

A host has a request cleared that an upstream has answered, at most once in 2 s. A record that arrived within these 2 s, because another upstream died, was skipped and is not sent again; the same holds if the clearing itself is lost, as the control group may be without a leader. Hosts that had no answer to the request, such as one that has just started, then refused it to their callers for 30 s after each further death.

Fix: the host keeps harmless suspects until the group has cleared them, and asks again every 2 s. Records that a replica sends late, which may have been cleared since, start nothing.

Test: TestClearingIsRepeated; before the fix nothing is asked for after the first time.

--- a/io/agatefront/suspects.go
+++ b/io/agatefront/suspects.go
@@ -39,6 +39,9 @@
 	// request, and lastCleared when it last asked the control group to clear it.
 	lastCrash   map[agatesuspect.Fingerprint]time.Time
 	lastCleared map[agatesuspect.Fingerprint]time.Time
+	// harmless holds the suspects of the control group that an upstream has answered,
+	// until the group has cleared them.
+	harmless map[agatesuspect.Fingerprint]struct{}
 }
 
 func newSuspects() *suspects {
@@ -47,6 +50,7 @@
 		answered:    make(map[agatesuspect.Fingerprint]struct{}),
 		lastCrash:   make(map[agatesuspect.Fingerprint]time.Time),
 		lastCleared: make(map[agatesuspect.Fingerprint]time.Time),
+		harmless:    make(map[agatesuspect.Fingerprint]struct{}),
 	}
 }
 
@@ -108,29 +112,58 @@
 
 // merge applies the suspects of a control replica's reply. A reply without
 // suspects and index carries no update. merge returns the suspects that an
-// upstream has answered, for the host to have them cleared.
-func (s *suspects) merge(now time.Time, reply *agatewire.WatchReply) (harmless []agatestate.Fingerprint) {
-	if len(reply.Suspects) == 0 && reply.Index == 0 {
-		return nil
-	}
+// upstream has answered, for the host to have them cleared. It returns them again until
+// they are, because a suspect that another crash follows, or whose clearing is lost, is
+// not sent again.
+func (s *suspects) merge(now time.Time, reply *agatewire.WatchReply) []agatestate.Fingerprint {
 	list := agateclient.FromWireSuspects(reply.Suspects)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if reply.Full {
+		clear(s.harmless) // those that are left are in the list
+	}
 	for _, r := range list {
-		if r.Deaths == 0 {
-			continue
-		}
-		s.setLastCrashLocked(now, r.Fingerprint)
-		if _, answered := s.answered[r.Fingerprint]; answered && now.Sub(s.lastCleared[r.Fingerprint]) > clearInterval {
-			s.lastCleared[r.Fingerprint] = now
-			harmless = append(harmless, agateclient.ToStateFingerprint(r.Fingerprint))
-		}
+		s.mergeLocked(now, r)
+	}
+	if len(list) > 0 || reply.Index > 0 {
+		s.tracker.Merge(list, reply.Index)
+	}
+	return s.takeHarmlessLocked(now)
+}
+
+// mergeLocked applies the record of one suspect. mu must be held.
+func (s *suspects) mergeLocked(now time.Time, r agatesuspect.Record) {
+	if r.Deaths == 0 {
+		delete(s.harmless, r.Fingerprint)
+		return
+	}
+	s.setLastCrashLocked(now, r.Fingerprint)
+	_, answered := s.answered[r.Fingerprint]
+	if !answered || r.Index <= s.tracker.Index() {
+		return // an old record may have been cleared since
 	}
+	if len(s.harmless) >= maxFingerprints {
+		clear(s.harmless)
+	}
+	s.harmless[r.Fingerprint] = struct{}{}
+}
+
+// takeHarmlessLocked returns the harmless suspects whose clearing is due and records that
+// it is asked for. mu must be held.
+func (s *suspects) takeHarmlessLocked(now time.Time) (due []agatestate.Fingerprint) {
 	if len(s.lastCleared) >= maxFingerprints {
 		clear(s.lastCleared)
 	}
-	s.tracker.Merge(list, reply.Index)
-	return harmless
+	for f := range s.harmless {
+		if len(due) == agatestate.MaxFingerprints {
+			break // the rest follows with the next reply
+		}
+		if now.Sub(s.lastCleared[f]) > clearInterval {
+			s.lastCleared[f] = now
+			due = append(due, agateclient.ToStateFingerprint(f))
+		}
+	}
+	return due
 }
 
 // index returns the log index up to which the control group's suspects are known.
--- a/io/agatefront/suspects_test.go
+++ b/io/agatefront/suspects_test.go
@@ -46,6 +46,24 @@
 	assert.Equal(t, fresh.refusedFor(now, p), time.Duration(0))
 }
 
+// Guards against a harmless request that hosts without an answer to it refuse, because it
+// crashed again, apparently, within clearInterval, or because its clearing was lost.
+func TestClearingIsRepeated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := fingerprint(3)
+	s := newSuspects()
+	s.recordAnswer(p)
+	assert.Equal(t, len(s.merge(now, record(5, p, 2))), 1)
+	assert.Equal(t, len(s.merge(now.Add(time.Second), record(7, p, 1))), 0)
+	heartbeat := &agatewire.WatchReply{}
+	later := now.Add(clearInterval + time.Second)
+	assert.Equal(t, len(s.merge(later, heartbeat)), 1, "the record at index 7 is not sent again")
+	assert.Equal(t, len(s.merge(later, heartbeat)), 0)
+	s.merge(later, record(8, p, 0))
+	s.merge(later, record(6, p, 2)) // from a replica that lags behind
+	assert.Equal(t, len(s.merge(later.Add(2*clearInterval), heartbeat)), 0, "it has been cleared")
+}
+
 // Guards against a request that is refused for ever because no host that saw it
 // answered is left, and against a wrong Retry-After time.
 func TestRefusalEnds(t *testing.T) {
