--- a/io/agateupstream/abandoned_test.go
+++ b/io/agateupstream/abandoned_test.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -19,15 +17,7 @@
 // goes on delivering its bytes after an ordinary close. testdata/abandoned.txt lists how
 // requests end.
 func TestAbandonedRequest(t *testing.T) {
-	data, err := os.ReadFile("testdata/abandoned.txt")
-	assert.NilError(t, err)
-	for line := range strings.Lines(string(data)) {
-		f := strings.Fields(line)
-		if len(f) == 0 || f[0] == "#" {
-			continue
-		}
-		t.Run(f[0], func(t *testing.T) { t.Parallel(); testAbandonedRequest(t, f[1], f[2]) })
-	}
+	runRows(t, "testdata/abandoned.txt", func(t *testing.T, f []string) { testAbandonedRequest(t, f[1], f[2]) })
 }
 
 func testAbandonedRequest(t *testing.T, end, want string) {
--- a/io/agateupstream/repeat_test.go
+++ b/io/agateupstream/repeat_test.go
@@ -5,8 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"strings"
 	"sync"
 	"testing"
 
@@ -17,15 +15,7 @@
 // upstream writes an earlier refusal once more on the connection, in front of the
 // response. testdata/repeats.txt lists which responses and requests have ids.
 func TestRepeatedRefusal(t *testing.T) {
-	data, err := os.ReadFile("testdata/repeats.txt")
-	assert.NilError(t, err)
-	for line := range strings.Lines(string(data)) {
-		f := strings.Fields(line)
-		if len(f) == 0 || f[0] == "#" {
-			continue
-		}
-		t.Run(f[0], func(t *testing.T) { t.Parallel(); testRepeatedRefusal(t, f[1], f[2], f[3]) })
-	}
+	runRows(t, "testdata/repeats.txt", func(t *testing.T, f []string) { testRepeatedRefusal(t, f[1], f[2], f[3]) })
 }
 
 func testRepeatedRefusal(t *testing.T, refusals, responses, requests string) {
--- a/io/agateupstream/testupstream_test.go
+++ b/io/agateupstream/testupstream_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -197,3 +198,18 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// runRows runs a parallel subtest for each row of a file. Columns are separated by
+// spaces, the first one is the name; rows that begin with "#" are comments.
+func runRows(t *testing.T, file string, run func(t *testing.T, row []string)) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(data)) {
+		row := strings.Fields(line)
+		if len(row) == 0 || row[0] == "#" {
+			continue
+		}
+		t.Run(row[0], func(t *testing.T) { t.Parallel(); run(t, row) })
+	}
+}
