--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -33,8 +33,12 @@
 
 // zones of the deployment with their regions, in the order of the machines.
 var zones = []struct{ zone, region string }{
-	{"centro-a", "gt-centro"}, {"xela-a", "gt-occidente"}, {"zacapa-a", "gt-oriente"},
-	{"centro-b", "gt-centro"}, {"xela-b", "gt-occidente"}, {"zacapa-b", "gt-oriente"},
+	{"centro-a", "gt-centro"},
+	{"xela-a", "gt-occidente"},
+	{"zacapa-a", "gt-oriente"},
+	{"centro-b", "gt-centro"},
+	{"xela-b", "gt-occidente"},
+	{"zacapa-b", "gt-oriente"},
 }
 
 // errCannotRun is wrapped by errors after which a case could not run.
