review: case 7, pings of another writer take backends out for good

Cause: an announcement for a service that no plan names takes the address of an upstream over; the upstream's later heartbeats are acknowledged and ignored.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,6 +17,7 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
+	"forged":  runForged,
 	"readers": runReaders,
 }
 
