--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,6 +17,7 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
+	"burst":   runBurst,
 	"forged":  runForged,
 	"readers": runReaders,
 }
