review: case 10, an entry host full of kept connections says it is ready

Cause: connections beyond half of the descriptors are closed at once, and neither the readiness check nor the control group learns of it.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"burst":   runBurst,
 	"forged":  runForged,
+	"full":    runFull,
 	"readers": runReaders,
 }
 
