--- a/review/standin2/backend.go
+++ b/review/standin2/backend.go
@@ -130,7 +130,7 @@
 			return
 		}
 		if r.Header.Get("X-Expect-Instance") != b.id {
-			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Request-Id"))
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Request-Id"), b.id)
 			continue
 		}
 		b.running.Add(1)
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -31,14 +31,15 @@
 // heartbeatInterval is heartbeat_s of the settings.
 const heartbeatInterval = 1500 * time.Millisecond
 
-// zones of the deployment with their regions, in the order of the machines.
+// zones of the deployment with their regions, in the order of the machines: those of
+// semillero-cr, like all other settings.
 var zones = []struct{ zone, region string }{
-	{"centro-a", "gt-centro"},
-	{"xela-a", "gt-occidente"},
-	{"zacapa-a", "gt-oriente"},
-	{"centro-b", "gt-centro"},
-	{"xela-b", "gt-occidente"},
-	{"zacapa-b", "gt-oriente"},
+	{"vc-heredia", "valle-central"},
+	{"gu-liberia", "guanacaste"},
+	{"cs-limon", "caribe-sur"},
+	{"vc-cartago", "valle-central"},
+	{"gu-nicoya", "guanacaste"},
+	{"cs-talamanca", "caribe-sur"},
 }
 
 // errCannotRun is wrapped by errors after which a case could not run.
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -38,7 +38,7 @@
 
 // runReaders plays consumers that read large responses slowly.
 func runReaders(rec *record, trouble bool) (bool, error) {
-	m := &memoryCase{rec: rec, trouble: trouble, consumers: 100, size: 6 << 20, rate: 1 << 20}
+	m := &memoryCase{rec: rec, trouble: trouble, consumers: 100, size: 6 << 20, rate: 512 << 10}
 	return m.run()
 }
 
@@ -91,7 +91,7 @@
 		labels.Go(func() { m.buyLabels(addr, &stop) })
 	}
 	time.Sleep(2 * time.Second)
-	m.rec.say("%d consumers begin, one each 20 ms, with %d bytes each, %d bytes a second; trouble: %t", m.consumers, m.size, m.rate, m.trouble)
+	m.rec.say("%d consumers begin, one each 100 ms, with %d bytes each, %d bytes a second; trouble: %t", m.consumers, m.size, m.rate, m.trouble)
 	var peak atomic.Int64
 	go func() {
 		for !stop.Load() {
@@ -103,7 +103,7 @@
 	}()
 	for i := range m.consumers {
 		bodies.Go(func() {
-			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
 			m.transfer(addr)
 		})
 	}
