--- a/core/agatesuspect/fingerprint.go
+++ b/core/agatesuspect/fingerprint.go
@@ -19,14 +19,17 @@
 
 // NewFingerprint returns the fingerprint of a request. It hashes the service
 // and the idempotency key, or the service, method, path and body if key is
-// empty.
-func NewFingerprint(service, method, path, key string, body []byte) Fingerprint {
+// empty. The body may be in several parts.
+func NewFingerprint(service, method, path, key string, body ...[]byte) Fingerprint {
 	h := sha256.New()
 	if key != "" {
 		writeFields(h, "key", service, key)
 	} else {
-		sum := sha256.Sum256(body)
-		writeFields(h, "request", service, method, path, string(sum[:]))
+		sum := sha256.New()
+		for _, part := range body {
+			sum.Write(part)
+		}
+		writeFields(h, "request", service, method, path, string(sum.Sum(nil)))
 	}
 	var f Fingerprint
 	copy(f[:], h.Sum(nil))
--- a/internal/agateserve/serve.go
+++ b/internal/agateserve/serve.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"agategate/internal/agatebuffer"
 )
 
 // Defaults of Config.
@@ -35,6 +37,9 @@
 	// MaxConns limits the open connections. Excess connections are closed
 	// immediately. The default is 4096.
 	MaxConns int
+	// Account is charged for the requests that are read. The default is an account of
+	// its own.
+	Account *agatebuffer.Account
 	// MaxHeaderBytes limits the size of a request header. The default is
 	// 16 KiB.
 	MaxHeaderBytes int
@@ -69,14 +74,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("agateserve: %w", err)
 	}
-	limit := newLimitListener(ln, orDefault(cfg.MaxConns, DefaultMaxConns))
+	maxConns := orDefault(cfg.MaxConns, DefaultMaxConns)
+	if cfg.Account == nil {
+		cfg.Account = agatebuffer.New(agatebuffer.Config{Holders: maxConns})
+	}
+	limit := newLimitListener(ln, maxConns, cfg.Account)
 	ln = limit
 	if cfg.TLS != nil {
 		ln = tls.NewListener(ln, cfg.TLS)
 	}
 	s := &Server{ln: ln, limit: limit, serveErr: make(chan error, 1)}
 	s.http = &http.Server{
-		Handler:           cfg.Handler,
+		Handler:           chargeRequests(cfg.Handler),
+		ConnContext:       connContext,
 		ReadHeaderTimeout: orDefault(cfg.HeaderTimeout, DefaultHeaderTimeout),
 		ReadTimeout:       orDefault(cfg.ReadTimeout, DefaultReadTimeout),
 		WriteTimeout:      orDefault(cfg.WriteTimeout, DefaultWriteTimeout),
@@ -116,7 +126,7 @@
 }
 
 // OpenConns returns the number of open connections.
-func (s *Server) OpenConns() int { return len(s.limit.conns) }
+func (s *Server) OpenConns() int { return s.limit.numOpen() }
 
 // ServeError returns a channel that receives an error if the server stops
 // without Shutdown or Close.
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -42,6 +42,7 @@
 	"agategate/core/agatequorum"
 	"agategate/core/agatequota"
 	"agategate/core/agatestate"
+	"agategate/internal/agatebuffer"
 	"agategate/internal/agateserve"
 	"agategate/io/agatelink"
 	"agategate/io/agatemetrics"
@@ -77,6 +78,9 @@
 	AdminTLS *tls.Config
 	// Metrics may be nil.
 	Metrics *agatemetrics.Set
+	// Account is charged for the requests that arrive. The default is one
+	// for Settings.Limit.Memory.
+	Account *agatebuffer.Account
 	// Dial opens connections to other processes. The default sets socket
 	// options that detect dead connections early.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
@@ -160,6 +164,9 @@
 	if cfg.Quota == (agatequota.Tolerance{}) {
 		cfg.Quota = defaultQuotaTolerance
 	}
+	if cfg.Account == nil {
+		cfg.Account = agatebuffer.New(agatebuffer.Config{Bytes: int64(agatebuffer.ControlShare * float64(cfg.Settings.Limit.Memory))})
+	}
 	c := &Control{
 		cfg:             cfg,
 		log:             cfg.Logger,
@@ -175,6 +182,10 @@
 	}
 	c.healer = agateheal.New(healConfig)
 	cfg.Metrics.Declare("control")
+	cfg.Metrics.Func(agatemetrics.BufferedBytes, func() any {
+		bytes, _ := cfg.Account.Usage()
+		return bytes
+	})
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	store, saved, err := agatestore.Open(agatestore.Config{Dir: cfg.Settings.Data, Logger: cfg.Logger})
 	if err != nil {
@@ -228,6 +239,7 @@
 	c.admin, err = agateserve.Start(agateserve.Config{
 		Address:        c.cfg.Settings.Admin,
 		Handler:        agateops.New(c.ops()),
+		Account:        c.cfg.Account,
 		TLS:            c.cfg.AdminTLS,
 		MaxConns:       c.cfg.Settings.Limit.Connections,
 		MaxHeaderBytes: c.cfg.Settings.Limit.Header,
--- a/io/agateentry/action.go
+++ b/io/agateentry/action.go
@@ -11,6 +11,7 @@
 	"agategate/core/agateaction"
 	"agategate/core/agateroute"
 	"agategate/core/agatestate"
+	"agategate/internal/agatebuffer"
 	"agategate/internal/agateclock"
 	"agategate/io/agateclient"
 	"agategate/io/agatelog"
@@ -76,7 +77,11 @@
 		deadline: agateclock.Now() + remaining,
 		request:  cl.request(),
 	}
-	e.activeActions.Go(a.run)
+	cl.users.Add(1)
+	e.activeActions.Go(func() {
+		defer cl.release()
+		a.run()
+	})
 	select {
 	case rep := <-a.reply:
 		return rep
@@ -93,12 +98,17 @@
 // idempotency key with another request is detected.
 func payloadHash(cl *call) agatestate.PayloadHash {
 	h := sha256.New()
-	for _, part := range []string{cl.method, cl.path, string(cl.body)} {
+	writeSize := func(n uint64) {
 		var size [8]byte
-		binary.LittleEndian.PutUint64(size[:], uint64(len(part)))
+		binary.LittleEndian.PutUint64(size[:], n)
 		_, _ = h.Write(size[:]) // never fails
+	}
+	for _, part := range []string{cl.method, cl.path} {
+		writeSize(uint64(len(part)))
 		_, _ = io.WriteString(h, part)
 	}
+	writeSize(uint64(cl.body.Len()))
+	_, _ = cl.body.WriteTo(h)
 	return agatestate.PayloadHash(h.Sum(nil))
 }
 
@@ -225,6 +235,7 @@
 		Path:        a.cl.path,
 		Header:      a.cl.header,
 		Body:        a.cl.body,
+		Charge:      a.cl.charge,
 		Action:      true,
 		Deadline:    a.e.beforeStop(a.cl.deadline),
 		Grace:       a.e.cfg.Settings.Wait.Answer,
@@ -239,7 +250,7 @@
 		a.e.reportDeath(d.Upstream)
 	}
 	a.e.router.finish(d.Upstream, a.lastObservation)
-	a.e.shift.observeSize(a.cl.service, len(a.cl.body)+len(r.Body))
+	a.e.shift.observeSize(a.cl.service, int(a.cl.body.Len()+r.Body.Len()))
 	end := agateaction.AttemptResult{MayHaveRun: r.MayHaveRun, Answer: conclusiveAnswer(r)}
 	a.complete(func(now time.Duration) []agateaction.Command {
 		if r.Kind == agateupstream.Answered && end.Answer == nil {
@@ -282,7 +293,7 @@
 	if r.Kind != agateupstream.Answered || r.Status >= http.StatusInternalServerError {
 		return nil
 	}
-	out := &agatestate.Answer{Status: r.Status, Body: r.Body}
+	out := &agatestate.Answer{Status: r.Status, Body: r.Body.Bytes()}
 	for name, values := range r.Header {
 		for _, v := range values {
 			out.Header = append(out.Header, agatestate.HeaderField{Name: name, Value: v})
@@ -304,7 +315,7 @@
 		for _, f := range r.Answer.Header {
 			rep.header.Add(f.Name, f.Value)
 		}
-		rep.body = r.Answer.Body
+		rep.body = agatebuffer.Of(r.Answer.Body)
 	}
 	if a.serverError != nil && rep.outcome == outcomeUnknown {
 		// The caller gets the upstream's 5xx answer with the outcome "unknown".
--- a/io/agateentry/announce.go
+++ b/io/agateentry/announce.go
@@ -1,6 +1,7 @@
 package agateentry
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -11,6 +12,8 @@
 	"github.com/labstack/echo/v4"
 
 	"agategate/core/agateroute"
+	"agategate/internal/agatebuffer"
+	"agategate/internal/agateserve"
 )
 
 // maxAnnouncementBytes is the limit of the body of an announcement.
@@ -44,11 +47,15 @@
 // handleAnnounce serves POST /v1/announce.
 func (e *Entry) handleAnnounce(c echo.Context) error {
 	var wire wireAnnouncement
-	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes))
-	err := dec.Decode(&wire)
-	var tooLarge *http.MaxBytesError
+	body, err := agateserve.ReadBody(c.Response(), c.Request(), maxAnnouncementBytes)
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(body.Bytes())).Decode(&wire)
+	}
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, agatebuffer.ErrFull):
+		agateserve.SetFull(c.Response().Header())
+		return c.JSON(http.StatusServiceUnavailable, wireError{Error: "announcement: busy"})
+	case errors.Is(err, agatebuffer.ErrTooLarge):
 		return c.JSON(http.StatusRequestEntityTooLarge, wireError{Error: "announcement: more than " + strconv.Itoa(maxAnnouncementBytes) + " bytes"})
 	case err != nil:
 		return c.JSON(http.StatusBadRequest, wireError{Error: "announcement: " + err.Error()})
--- a/io/agateentry/call.go
+++ b/io/agateentry/call.go
@@ -6,18 +6,20 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"agategate/core/agateinventory"
 	"agategate/core/agateroute"
+	"agategate/internal/agatebuffer"
 	"agategate/internal/agateclock"
+	"agategate/internal/agateserve"
 )
 
 // Header fields of requests and answers.
@@ -42,8 +44,6 @@
 const (
 	// maxKeyBytes is the limit of an idempotency key.
 	maxKeyBytes = 512
-	// bodyBudgetBytes is the limit of all request bodies held in memory.
-	bodyBudgetBytes = 128 << 20
 	// minRetryAfter is the shortest Retry-After, which is in whole seconds.
 	minRetryAfter = time.Second
 	// minStopTime is the time left before the end of a planned stop below which a host
@@ -64,7 +64,7 @@
 	homeRegion string // region of the caller
 	key        string
 	header     http.Header
-	body       []byte
+	body       *agatebuffer.Buffer
 	class      agateinventory.Class
 	arrived    time.Time
 	deadline   time.Time
@@ -73,6 +73,17 @@
 	seenIndex uint64
 	// forwarded is set if another entry host has forwarded the call.
 	forwarded bool
+	// charge is charged for what the call and its answers hold in memory. It ends when
+	// the users, the handler and the runner of an action, have released it.
+	charge *agatebuffer.Charge
+	users  atomic.Int32
+}
+
+// release ends one use of the call. What it holds is no longer charged after the last one.
+func (cl *call) release() {
+	if cl.users.Add(-1) == 0 {
+		cl.charge.End()
+	}
 }
 
 // reply is the final answer to a call.
@@ -82,7 +93,7 @@
 	reason     string
 	retryAfter time.Duration
 	header     http.Header // of the upstream's answer, nil without one
-	body       []byte
+	body       *agatebuffer.Buffer
 }
 
 // errorReply returns a reply that this host generates itself.
@@ -108,9 +119,9 @@
 		// so that no request is cut off when the listener closes.
 		c.Response().Header().Set("Connection", "close")
 	}
-	cl, rejected := e.parseCall(r, id)
+	cl, rejected := e.parseCall(c.Response(), r, id)
 	if cl != nil {
-		defer e.bodyBytes.Add(-int64(len(cl.body)))
+		defer cl.release()
 	}
 	if rejected != nil {
 		e.metrics.refused(rejected.reason)
@@ -126,9 +137,8 @@
 }
 
 // parseCall reads and validates a request. A non-nil reply is a refusal to be
-// sent to the caller. The body of a returned call counts towards
-// bodyBudgetBytes until the caller of parseCall subtracts it.
-func (e *Entry) parseCall(r *http.Request, id string) (*call, *reply) {
+// sent to the caller. A returned call must be released.
+func (e *Entry) parseCall(w http.ResponseWriter, r *http.Request, id string) (*call, *reply) {
 	arrived := time.Now()
 	reject := func(status int, reason string) (*call, *reply) {
 		rep := errorReply(status, outcomeNotRun, reason, 0)
@@ -144,23 +154,26 @@
 	if err != nil {
 		return reject(http.StatusBadRequest, "deadline")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(e.cfg.Settings.Limit.Body)))
-	var tooLarge *http.MaxBytesError
+	charge := agateserve.NewCharge(r)
+	body, err := agateserve.ReadBodyFor(w, r, min(int64(e.cfg.Settings.Limit.Body), e.account.Largest()), charge)
+	if err != nil {
+		charge.End()
+	}
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, agatebuffer.ErrTooLarge):
 		return reject(http.StatusRequestEntityTooLarge, "body")
+	case errors.Is(err, agatebuffer.ErrFull):
+		// Another call with the same key may have run.
+		rep := errorReply(http.StatusServiceUnavailable, outcomeUnknown, "memory", minRetryAfter)
+		return nil, &rep
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		rep := errorReply(http.StatusRequestTimeout, outcomeNotRun, "body", minRetryAfter)
 		return nil, &rep
 	case err != nil:
 		return reject(http.StatusBadRequest, "body")
 	}
-	if e.bodyBytes.Add(int64(len(body))) > bodyBudgetBytes {
-		e.bodyBytes.Add(-int64(len(body)))
-		rep := errorReply(http.StatusServiceUnavailable, outcomeUnknown, "memory", minRetryAfter)
-		return nil, &rep
-	}
 	cl := &call{
+		charge:     charge,
 		id:         id,
 		service:    name,
 		method:     r.Method,
@@ -174,6 +187,7 @@
 		deadline:   e.beforeStop(arrived.Add(remaining)),
 		seenIndex:  e.seenIndex.At(agateclock.Now()),
 	}
+	cl.users.Store(1)
 	// An upstream that echoes the id allows detecting a late answer to another
 	// request.
 	cl.header.Set(headerRequest, id)
@@ -246,11 +260,12 @@
 	body := rep.body
 	if rep.header == nil {
 		h.Set("Content-Type", echo.MIMEApplicationJSON)
-		body, _ = json.Marshal(wireError{Error: string(rep.outcome) + ": " + rep.reason}) // a string always has a JSON form
+		text, _ := json.Marshal(wireError{Error: string(rep.outcome) + ": " + rep.reason}) // a string always has a JSON form
+		body = agatebuffer.Of(text)
 	}
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Content-Length", strconv.FormatInt(body.Len(), 10))
 	w.WriteHeader(rep.status)
-	_, _ = w.Write(body) // the caller may be gone
+	_, _ = body.WriteTo(w) // the caller may be gone
 }
 
 // ceilSeconds rounds up to whole seconds, because a caller that retries early
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -36,6 +36,7 @@
 	"agategate/core/agateaction"
 	"agategate/core/agateinventory"
 	"agategate/core/agateroute"
+	"agategate/internal/agatebuffer"
 	"agategate/internal/agateserve"
 	"agategate/io/agateclient"
 	"agategate/io/agatelink"
@@ -94,7 +95,7 @@
 	ending    context.Context
 	endCalls  context.CancelFunc
 	seenIndex agateaction.IndexTracker
-	bodyBytes atomic.Int64
+	account   *agatebuffer.Account
 	// lastControlReply is the agateclock time at which the control leader last
 	// answered a heartbeat.
 	lastControlReply atomic.Int64
@@ -147,11 +148,16 @@
 		epoch:     newEpoch(),
 		directory: newDirectory(),
 	}
+	e.account = agatebuffer.New(agatebuffer.Config{
+		Bytes:   int64(agatebuffer.EntryShare * float64(cfg.Settings.Limit.Memory)),
+		Holders: cfg.Settings.Limit.Connections,
+	})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.ending, e.endCalls = context.WithCancel(e.ctx)
 	e.inventory.Store(&agateinventory.Inventory{})
 	e.config.Store(&activeConfig{})
 	e.pool = agateupstream.New(agateupstream.Config{
+		Account:        e.account,
 		MaxBodyBytes:   int64(cfg.Settings.Limit.Reply),
 		ConnectTimeout: cfg.Settings.Wait.Connect,
 	})
@@ -218,6 +224,7 @@
 	e.caller, err = agateserve.Start(agateserve.Config{
 		Address:        e.cfg.Settings.CallerAddr,
 		Handler:        e.callerRoutes(),
+		Account:        e.account,
 		MaxConns:       e.cfg.Settings.Limit.Connections,
 		MaxHeaderBytes: e.cfg.Settings.Limit.Header,
 		HeaderTimeout:  e.cfg.Settings.Wait.Header,
@@ -231,6 +238,7 @@
 	e.admin, err = agateserve.Start(agateserve.Config{
 		Address:  e.cfg.Settings.Admin,
 		Handler:  e.adminRoutes(),
+		Account:  e.account,
 		MaxConns: maxAdminConns,
 	})
 	if err != nil {
--- a/io/agateentry/forward.go
+++ b/io/agateentry/forward.go
@@ -10,6 +10,7 @@
 	"agategate/core/agateinventory"
 	"agategate/core/agatepeer"
 	"agategate/core/agateroute"
+	"agategate/internal/agatebuffer"
 	"agategate/internal/agateclock"
 	"agategate/io/agatelog"
 	"agategate/io/agatemetrics"
@@ -31,7 +32,7 @@
 const (
 	declinedStopping = "stopping"
 	declinedConfig   = "revision" // the receiver has an older configuration
-	declinedBusy     = "busy"
+	declinedBusy     = "busy"     // too many forwarded calls, or no memory for their bodies
 	declinedLinks    = "no link"
 )
 
@@ -154,9 +155,11 @@
 // has run it.
 func (e *Entry) forward(ctx context.Context, cl *call) (rep reply, ok bool) {
 	query := agatepeer.Query{Request: cl.id, Service: cl.service}
-	if len(cl.body) > maxForwardBytes {
+	size := cl.body.Len()
+	if size > maxForwardBytes || cl.charge.Grow(size) != nil {
 		return reply{}, false
 	}
+	defer cl.charge.Shrink(size) // the copy in the message
 	for range maxForwards {
 		left := time.Until(e.beforeStop(cl.deadline))
 		peer, found := e.choosePeer(time.Now(), query)
@@ -191,7 +194,7 @@
 	}
 	res, err := agatewire.NewPeerClient(conn).Forward(ctx, &agatewire.ForwardAsk{
 		Sender: e.identity(), Id: cl.id, Service: cl.service, Method: cl.method, Path: cl.path, Region: cl.homeRegion,
-		Key: cl.key, Left: left.Milliseconds(), Header: toWireHeader(cl.header), Body: cl.body,
+		Key: cl.key, Left: left.Milliseconds(), Header: toWireHeader(cl.header), Body: cl.body.Bytes(),
 	})
 	e.dialer.Report(peer.Address, err)
 	return res, err
@@ -230,16 +233,18 @@
 	if ok {
 		defer end()
 	}
+	charge := e.account.Open().Begin()
+	ok = ok && charge.Grow(int64(len(req.Body))) == nil
 	if reason := e.declineForwarded(req, ok); reason != "" {
+		charge.End()
 		e.metrics.set.Counter(agatemetrics.Taken, reason).Add(1)
 		return &agatewire.ForwardReply{Sender: e.identity(), Declined: reason}, nil
 	}
 	e.metrics.set.Counter(agatemetrics.Taken, takenLabel).Add(1)
 	e.activeCalls.Add(1)
 	defer e.activeCalls.Done()
-	cl := e.forwardedCall(req)
-	e.bodyBytes.Add(int64(len(cl.body)))
-	defer e.bodyBytes.Add(-int64(len(cl.body)))
+	cl := e.forwardedCall(req, charge)
+	defer cl.release()
 	rep := e.serveCall(ctx, cl)
 	e.recordCall(cl, rep)
 	return e.toWireReply(&rep), nil
@@ -252,7 +257,7 @@
 		return declinedStopping
 	case e.Revision() < req.Sender.GetRevision() || e.inventory.Load().Service(req.Service) == nil:
 		return declinedConfig
-	case !withinLimit || e.bodyBytes.Load()+int64(len(req.Body)) > bodyBudgetBytes:
+	case !withinLimit:
 		return declinedBusy
 	case e.detours.open(req.Service):
 		return declinedLinks
@@ -261,16 +266,17 @@
 }
 
 // forwardedCall returns the call that another entry host forwards.
-func (e *Entry) forwardedCall(req *agatewire.ForwardAsk) *call {
+func (e *Entry) forwardedCall(req *agatewire.ForwardAsk, charge *agatebuffer.Charge) *call {
 	now := time.Now()
 	cl := &call{
 		id: req.Id, service: req.Service, method: req.Method, path: req.Path, homeRegion: req.Region, key: req.Key,
-		header: http.Header{}, body: req.Body, forwarded: true,
+		header: http.Header{}, body: agatebuffer.Of(req.Body), charge: charge, forwarded: true,
 		class:     e.inventory.Load().Service(req.Service).Classify(req.Method, pathOf(req.Path)),
 		arrived:   now,
 		deadline:  now.Add(time.Duration(req.Left) * time.Millisecond),
 		seenIndex: e.seenIndex.At(agateclock.Now()),
 	}
+	cl.users.Store(1)
 	for _, f := range req.Header {
 		cl.header.Add(f.Name, f.Value)
 	}
@@ -289,14 +295,14 @@
 func (e *Entry) toWireReply(rep *reply) *agatewire.ForwardReply {
 	return &agatewire.ForwardReply{
 		Sender: e.identity(), Status: uint32(rep.status), Outcome: string(rep.outcome), Reason: rep.reason, // a status has three digits
-		After: rep.retryAfter.Milliseconds(), Answered: rep.header != nil, Header: toWireHeader(rep.header), Body: rep.body,
+		After: rep.retryAfter.Milliseconds(), Answered: rep.header != nil, Header: toWireHeader(rep.header), Body: rep.body.Bytes(),
 	}
 }
 
 func fromWireReply(res *agatewire.ForwardReply) reply {
 	rep := reply{
 		status: int(res.Status), outcome: outcome(res.Outcome), reason: res.Reason,
-		retryAfter: time.Duration(res.After) * time.Millisecond, body: res.Body,
+		retryAfter: time.Duration(res.After) * time.Millisecond, body: agatebuffer.Of(res.Body),
 	}
 	if res.Answered {
 		rep.header = http.Header{}
--- a/io/agateentry/metrics.go
+++ b/io/agateentry/metrics.go
@@ -31,6 +31,10 @@
 	set := e.metrics.set
 	set.Declare("entry")
 	set.Func(agatemetrics.Upstreams, func() any { return e.upstreamsUp() })
+	set.Func(agatemetrics.BufferedBytes, func() any {
+		bytes, _ := e.account.Usage()
+		return bytes
+	})
 	set.Func(agatemetrics.CallerConnections, func() any { return e.caller.OpenConns() })
 	set.Func(agatemetrics.DroppedItems, func() any { return map[string]uint64{"route": e.router.tasks.Rejected()} })
 	set.Func(agatemetrics.SuspectRequests, func() any { return e.suspects.count() })
--- a/io/agateentry/probe.go
+++ b/io/agateentry/probe.go
@@ -23,7 +23,7 @@
 // admitFingerprint computes the fingerprint of a request and checks whether it
 // may run. A non-nil reply is a refusal.
 func (e *Entry) admitFingerprint(cl *call) (requestFingerprint, *reply) {
-	f := requestFingerprint{fingerprint: agatesuspect.NewFingerprint(cl.service, cl.method, cl.path, cl.key, cl.body)}
+	f := requestFingerprint{fingerprint: agatesuspect.NewFingerprint(cl.service, cl.method, cl.path, cl.key, cl.body.Blocks()...)}
 	switch e.suspects.check(f.fingerprint) {
 	case agatesuspect.Refused:
 		return f, e.refuseFingerprint(cl)
--- a/io/agateentry/read.go
+++ b/io/agateentry/read.go
@@ -161,6 +161,7 @@
 		Path:            cl.path,
 		Header:          cl.header,
 		Body:            cl.body,
+		Charge:          cl.charge,
 		Deadline:        e.beforeStop(cl.deadline),
 		ReadIdleTimeout: e.silenceTimeout(cl),
 		Connected:       func(time.Duration) { e.detours.reached(cl.service) },
@@ -174,7 +175,7 @@
 		e.suspects.markAnswered(f.fingerprint)
 	}
 	e.router.finish(d.Upstream, a.observation)
-	e.shift.observeSize(cl.service, len(cl.body)+len(r.Body))
+	e.shift.observeSize(cl.service, int(cl.body.Len()+r.Body.Len()))
 	return a
 }
 
--- a/io/agatefront/forward.go
+++ b/io/agatefront/forward.go
@@ -9,6 +9,7 @@
 
 	"agategate/core/agatepeer"
 	"agategate/core/agateplan"
+	"agategate/internal/agatebuffer"
 	"agategate/io/agatemetrics"
 	"agategate/io/agateupstream"
 )
@@ -46,8 +47,9 @@
 )
 
 // newPeerPool returns the pool of connections to peers.
-func newPeerPool(headers *Headers) *agateupstream.Pool {
+func newPeerPool(headers *Headers, account *agatebuffer.Account) *agateupstream.Pool {
 	return agateupstream.New(agateupstream.Config{
+		Account:           account,
 		IdleTimeout:       peerIdleTimeout,
 		ActionIdleTimeout: peerIdleTimeout / 2,
 		MaxConns:          maxPeerConns,
@@ -135,6 +137,7 @@
 		Path:        p.path,
 		Header:      h,
 		Body:        p.x.body,
+		Charge:      p.x.charge,
 		Action:      !p.route.Kind.Idempotent(),
 		Deadline:    p.workDeadline,
 		Grace:       peerGrace,
--- a/io/agatefront/front.go
+++ b/io/agatefront/front.go
@@ -40,6 +40,7 @@
 	"agategate/core/agatepeer"
 	"agategate/core/agateplan"
 	"agategate/core/agatequota"
+	"agategate/internal/agatebuffer"
 	"agategate/io/agatelink"
 	"agategate/io/agatelog"
 	"agategate/io/agatemetrics"
@@ -106,9 +107,9 @@
 	// MaxCallerConns is the maximum number of open caller connections. The
 	// default is 2,000.
 	MaxCallerConns int
-	// MaxTotalBodyBytes is the maximum total size of the bodies of requests in
-	// progress. The default is 64 MiB.
-	MaxTotalBodyBytes int64
+	// Account is charged for what requests and responses hold in memory. The default is
+	// an account of its own with MaxCallerConns holders.
+	Account *agatebuffer.Account
 	// Admin is the address at which Handler is served, or the zero value if it
 	// is not served. Control replicas query it for the decisions on a request.
 	Admin netip.AddrPort
@@ -124,7 +125,6 @@
 
 const (
 	defaultMaxCallerConns = 2000
-	defaultTotalBodyBytes = 64 << 20
 	// upstreamIdleTimeout is how long an idle connection to an upstream is kept.
 	// The upstream's Keep-Alive timeout can shorten it.
 	upstreamIdleTimeout = 8 * time.Second
@@ -144,6 +144,7 @@
 	log     hclog.Logger
 	epoch   uint64 // random id of this run of the process
 	headers Headers
+	account *agatebuffer.Account
 	pool    *agateupstream.Pool
 	dialer  *agatelink.Dialer
 	ln      net.Listener
@@ -163,10 +164,9 @@
 	ownRunning, forwardedRunning atomic.Int64
 	suspects                     *suspects
 	metrics                      metrics
-	bodyBytes                    atomic.Int64 // total size of request bodies in memory
-	routineLimit                 rateLimit    // of log lines on successful requests
-	otherLimit                   rateLimit    // of all other log lines on requests
-	linksLost                    atomic.Bool  // Table.LinksLost, as of the last change
+	routineLimit                 rateLimit   // of log lines on successful requests
+	otherLimit                   rateLimit   // of all other log lines on requests
+	linksLost                    atomic.Bool // Table.LinksLost, as of the last change
 	stopping                     atomic.Bool
 	finishing                    atomic.Bool // the host stops, and takes no further requests
 	// stopEnd is when a stopping host must have answered its requests, if that is known,
@@ -190,8 +190,8 @@
 	if cfg.MaxCallerConns <= 0 {
 		cfg.MaxCallerConns = defaultMaxCallerConns
 	}
-	if cfg.MaxTotalBodyBytes <= 0 {
-		cfg.MaxTotalBodyBytes = defaultTotalBodyBytes
+	if cfg.Account == nil {
+		cfg.Account = agatebuffer.New(agatebuffer.Config{Holders: cfg.MaxCallerConns})
 	}
 	if cfg.UpstreamAddr == nil {
 		cfg.UpstreamAddr = func(addr netip.AddrPort) netip.AddrPort { return addr }
@@ -203,6 +203,7 @@
 		log:      cfg.Log.Logger(),
 		epoch:    newEpoch(),
 		headers:  cfg.Headers.withDefaults(),
+		account:  cfg.Account,
 		table:    agatebalance.New(cfg.Balance),
 		shutdown: make(chan struct{}),
 		ending:   make(chan struct{}),
@@ -210,6 +211,7 @@
 	f.suspects = newSuspects()
 	f.metrics = newMetrics(f)
 	f.pool = agateupstream.New(agateupstream.Config{
+		Account:             f.account,
 		IdleTimeout:         upstreamIdleTimeout,
 		ActionIdleTimeout:   actionIdleTimeout,
 		MaxConns:            defaultMaxConns,
@@ -231,7 +233,7 @@
 			return nil, fmt.Errorf("agatefront: %w", err)
 		}
 	}
-	f.peerPool = newPeerPool(&f.headers)
+	f.peerPool = newPeerPool(&f.headers, f.account)
 	f.dialer = agatelink.NewDialer(agatelink.Config{})
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.control.f = f
--- a/io/agatefront/metrics.go
+++ b/io/agatefront/metrics.go
@@ -48,6 +48,10 @@
 	}
 	set.Declare("entry")
 	set.Func(agatemetrics.CallerConnections, func() any { return f.conns.len() })
+	set.Func(agatemetrics.BufferedBytes, func() any {
+		bytes, _ := f.account.Usage()
+		return bytes
+	})
 	set.Func(agatemetrics.ConfigRevision, func() any { return f.control.revision() })
 	set.Func(agatemetrics.Upstreams, func() any { return f.sumUpstreams(func(agatebalance.UpstreamStatus) int { return 1 }) })
 	set.Func(agatemetrics.InFlight, func() any { return f.sumUpstreams(func(u agatebalance.UpstreamStatus) int { return u.InFlight }) })
--- a/io/agatefront/reply.go
+++ b/io/agatefront/reply.go
@@ -7,13 +7,15 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"agategate/internal/agatebuffer"
 )
 
 // reply is the response to one request.
 type reply struct {
 	status int
 	header http.Header // end-to-end headers of an upstream's response; nil for the host's own reply
-	body   []byte
+	body   *agatebuffer.Buffer
 	// stream passes on a body of size bytes while it arrives. It replaces body if it is
 	// not nil.
 	stream *bodyStream
@@ -40,12 +42,12 @@
 	r.extra.Set(name, value)
 }
 
-// encode returns the reply as an HTTP/1.1 message, without the body of a stream. The
-// host's own reply has the
-// reason as its body and the request's id as a header.
-func (r *reply) encode(req *http.Request, last bool, idHeader string) []byte {
+// encode returns the head of the reply as an HTTP/1.1 message, and the body that follows
+// it, which is nil for a stream. The host's own reply has the reason as its body and the
+// request's id as a header.
+func (r *reply) encode(req *http.Request, last bool, idHeader string) ([]byte, *agatebuffer.Buffer) {
 	var b bytes.Buffer
-	b.Grow(len(r.body) + 512)
+	b.Grow(512)
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", r.status, http.StatusText(r.status))
 	body := r.body
 	h := r.header
@@ -58,7 +60,7 @@
 			h.Set("Retry-After", formatSeconds(r.retryAfter))
 		}
 		h.Set("Content-Type", "text/plain; charset=utf-8")
-		body = []byte(r.reason + "\n")
+		body = agatebuffer.Of([]byte(r.reason + "\n"))
 	}
 	for name, values := range r.extra {
 		h[name] = values
@@ -66,7 +68,7 @@
 	h.Del("Connection")
 	if bodyAllowed(r.status) {
 		if req.Method != http.MethodHead {
-			size := int64(len(body))
+			size := body.Len()
 			if r.stream != nil {
 				size = r.size
 			}
@@ -83,10 +85,10 @@
 		b.WriteString("Connection: keep-alive\r\n")
 	}
 	b.WriteString("\r\n")
-	if req.Method != http.MethodHead && bodyAllowed(r.status) {
-		b.Write(body)
+	if req.Method == http.MethodHead || !bodyAllowed(r.status) {
+		body = nil
 	}
-	return b.Bytes()
+	return b.Bytes(), body
 }
 
 func bodyAllowed(status int) bool {
--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -177,7 +177,7 @@
 	if !p.route.Kind.Idempotent() && !p.waitForPrevious() {
 		return reply{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "caller left", close: true}
 	}
-	p.fingerprint = agatesuspect.NewFingerprint("", p.x.req.Method, p.path, "", p.x.body)
+	p.fingerprint = agatesuspect.NewFingerprint("", p.x.req.Method, p.path, "", p.x.body.Blocks()...)
 	if after := p.f.suspects.refusedFor(time.Now(), p.fingerprint); after > 0 {
 		return reply{status: http.StatusServiceUnavailable, retryAfter: after, reason: "crashes upstreams"}
 	}
@@ -382,6 +382,7 @@
 		Path:     p.path,
 		Header:   h,
 		Body:     p.x.body,
+		Charge:   p.x.charge,
 		Action:   !p.route.Kind.Idempotent(),
 		Deadline: p.workDeadline,
 		Grace:    responseGrace,
--- a/io/agatefront/stream.go
+++ b/io/agatefront/stream.go
@@ -4,15 +4,17 @@
 	"errors"
 	"net/http"
 	"sync"
+	"time"
 
 	"agategate/core/agateplan"
+	"agategate/internal/agatebuffer"
 	"agategate/io/agateupstream"
 )
 
 // bodyStream passes the parts of a response body on to the caller's connection while the
-// upstream still sends others. It never blocks the upstream: what the caller has not
-// read yet stays in memory, as that of a body that is read whole does. It is safe for
-// concurrent use.
+// upstream still sends others. What the caller has not read yet stays charged to the
+// request, and no more is read from the upstream than the account has room for. It is
+// safe for concurrent use.
 type bodyStream struct {
 	mu      sync.Mutex
 	parts   [][]byte
@@ -98,15 +100,18 @@
 
 var errStreamCut = errors.New("agatefront: the upstream's response ended before its end")
 
-// writeStream writes the parts of a body as they arrive. After an error the connection
-// must be closed, so that the response does not look complete.
-func (c *conn) writeStream(s *bodyStream) error {
+// writeStream writes the parts of a body as they arrive, and releases them from charge.
+// After an error the connection must be closed, so that the response does not look
+// complete.
+func (c *conn) writeStream(s *bodyStream, charge *agatebuffer.Charge) error {
 	for {
 		parts, ended, whole := s.take()
 		for _, part := range parts {
-			if err := c.writeBytes(part); err != nil {
+			_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only if the connection is closed; the write then fails too
+			if _, err := c.nc.Write(part); err != nil {
 				return err
 			}
+			charge.Shrink(int64(len(part)))
 		}
 		switch {
 		case ended && whole:
--- a/io/agatefront/taken.go
+++ b/io/agatefront/taken.go
@@ -14,7 +14,7 @@
 // values are stable.
 const (
 	declinedPlan  = "plan"    // the hosts apply different plans
-	declinedBusy  = "busy"    // as many requests of other hosts are in progress as allowed
+	declinedBusy  = "busy"    // as many requests of other hosts are in progress as allowed, or no memory is left
 	declinedLinks = "no link" // this host's links to the upstreams have failed, too
 )
 
--- a/io/agatemetrics/name.go
+++ b/io/agatemetrics/name.go
@@ -41,6 +41,7 @@
 	Uptime         Name = "uptime"
 	Goroutines     Name = "goroutines"
 	HeapBytes      Name = "heap"
+	BufferedBytes  Name = "buffered"
 )
 
 // Metrics of control processes.
@@ -107,6 +108,7 @@
 	{Uptime, "gauge", "", "s", "both", "time since the process started"},
 	{Goroutines, "gauge", "", "goroutines", "both", "goroutines"},
 	{HeapBytes, "gauge", "", "bytes", "both", "size of allocated heap objects"},
+	{BufferedBytes, "gauge", "", "bytes", "both", "bytes of requests, responses and messages that the process holds for others"},
 	{IsLeader, "gauge", "", "0 or 1", "control", "1 if the replica is the leader, otherwise 0"},
 	{Term, "gauge", "", "terms", "control", "current term"},
 	{CommitIndex, "gauge", "", "entries", "control", "highest committed log index"},
--- a/io/agateops/config.go
+++ b/io/agateops/config.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,8 @@
 	"github.com/labstack/echo/v4"
 
 	"agategate/core/agateinventory"
+	"agategate/internal/agatebuffer"
+	"agategate/internal/agateserve"
 )
 
 // ChangeRequest replaces the configuration by compare-and-set.
@@ -95,12 +96,8 @@
 		return sendError(c, http.StatusBadRequest, "If-Match must be a revision number")
 	}
 	r.Base = base
-	if !h.acquireUpload() {
-		return sendBusy(c)
-	}
-	defer h.releaseUpload()
 	if r.Document, err = h.readBody(c); err != nil {
-		return sendBodyError(c, err)
+		return h.sendBodyError(c, err)
 	}
 	return h.applyDocument(c, r)
 }
@@ -142,27 +139,27 @@
 // inventoryFileName is the file name in the problems of a reply.
 const inventoryFileName = "inventory.toml"
 
-// acquireUpload reserves one of MaxUploads places, or reports that all are taken.
-func (h *handler) acquireUpload() bool {
-	select {
-	case h.uploads <- struct{}{}:
-		return true
-	default:
-		return false
-	}
-}
-
-func (h *handler) releaseUpload() { <-h.uploads }
-
+// readBody reads a document, and charges for the copy in one piece that is parsed, and for
+// what parsing it takes.
 func (h *handler) readBody(c echo.Context) ([]byte, error) {
-	req := c.Request()
-	return io.ReadAll(http.MaxBytesReader(c.Response(), req.Body, h.cfg.MaxBodyBytes))
+	body, err := agateserve.ReadBody(c.Response(), c.Request(), h.cfg.MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	charge := agateserve.Charge(c.Request())
+	if err := charge.Grow(body.Len()); err != nil {
+		return nil, err
+	}
+	doc := body.Bytes()
+	return doc, charge.Grow(agatebuffer.DecodedBytes(doc))
 }
 
-func sendBodyError(c echo.Context, err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return sendError(c, http.StatusRequestEntityTooLarge, "the body has more than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+func (h *handler) sendBodyError(c echo.Context, err error) error {
+	switch {
+	case errors.Is(err, agatebuffer.ErrTooLarge):
+		return sendError(c, http.StatusRequestEntityTooLarge, "the body has more than "+strconv.FormatInt(h.cfg.MaxBodyBytes, 10)+" bytes")
+	case errors.Is(err, agatebuffer.ErrFull):
+		return sendReply(c, Reply{Outcome: NotRun, Reason: "no memory for the body"}, errorBody{})
 	}
 	return sendError(c, http.StatusBadRequest, "reading the body: "+err.Error())
 }
--- a/io/agateops/drain.go
+++ b/io/agateops/drain.go
@@ -55,13 +55,9 @@
 type editFunc func(doc []byte, r DrainRequest) ([]byte, agateinventory.Problems)
 
 func (h *handler) drain(c echo.Context, edit editFunc) error {
-	if !h.acquireUpload() {
-		return sendBusy(c)
-	}
-	defer h.releaseUpload()
 	var body drainBody
 	if err := h.decodeJSON(c, &body); err != nil {
-		return sendBodyError(c, err)
+		return h.sendBodyError(c, err)
 	}
 	r := DrainRequest{Kind: body.Kind, Name: body.Name, Share: 1, ChangeID: body.Change}
 	if body.Share != nil {
--- a/io/agateops/ops.go
+++ b/io/agateops/ops.go
@@ -34,7 +34,6 @@
 const (
 	defaultMaxBodyBytes = agateinventory.MaxDocumentBytes
 	defaultCallTimeout  = 5 * time.Second
-	defaultMaxUploads   = 8
 )
 
 // Config configures the handlers of a control process. The function fields must
@@ -65,9 +64,6 @@
 	MaxBodyBytes int64
 	// CallTimeout bounds one call of a function field. The default is 5 s.
 	CallTimeout time.Duration
-	// MaxUploads is the maximum number of requests with a body that are processed at
-	// once. Further ones get 503 with Agate-Outcome: not-run. The default is 8.
-	MaxUploads int
 	// Log receives a line for each request to change the configuration or the
 	// members that reaches the control group. The default discards it.
 	Log hclog.Logger
@@ -75,7 +71,6 @@
 
 type handler struct {
 	cfg     Config
-	uploads chan struct{}
 	parsing chan struct{} // semaphore: one document is parsed at a time, to bound memory
 }
 
@@ -87,13 +82,10 @@
 	if cfg.CallTimeout <= 0 {
 		cfg.CallTimeout = defaultCallTimeout
 	}
-	if cfg.MaxUploads <= 0 {
-		cfg.MaxUploads = defaultMaxUploads
-	}
 	if cfg.Log == nil {
 		cfg.Log = hclog.NewNullLogger()
 	}
-	h := &handler{cfg: cfg, uploads: make(chan struct{}, cfg.MaxUploads), parsing: make(chan struct{}, 1)}
+	h := &handler{cfg: cfg, parsing: make(chan struct{}, 1)}
 	e := NewEcho()
 	e.GET("/v1/config", h.getConfig)
 	e.PUT("/v1/config", h.putConfig)
--- a/io/agateops/plan.go
+++ b/io/agateops/plan.go
@@ -67,12 +67,8 @@
 	if r.Base, err = strconv.ParseUint(strings.Trim(match, `"`), 10, 64); err != nil {
 		return sendError(c, http.StatusBadRequest, "If-Match must be a version number")
 	}
-	if !h.acquireUpload() {
-		return sendBusy(c)
-	}
-	defer h.releaseUpload()
 	if r.Document, err = h.readBody(c); err != nil {
-		return sendBodyError(c, err)
+		return h.sendBodyError(c, err)
 	}
 	problems := agateplan.Problems{{File: planFileName, Text: "the request was cancelled"}}
 	h.parseSerially(c.Request().Context(), func() { r.Plan, problems = agateplan.Parse(planFileName, r.Document) })
--- a/io/agateops/reply.go
+++ b/io/agateops/reply.go
@@ -50,10 +50,6 @@
 	return c.JSON(code, errorBody{Error: text})
 }
 
-func sendBusy(c echo.Context) error {
-	return sendReply(c, Reply{Outcome: NotRun, Reason: "too many requests are in progress"}, errorBody{})
-}
-
 // sendReply sends the reply to a call whose outcome is not Done.
 func sendReply(c echo.Context, r Reply, body errorBody) error {
 	header := c.Response().Header()
--- a/io/agateops/status.go
+++ b/io/agateops/status.go
@@ -1,6 +1,7 @@
 package agateops
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -9,6 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"agategate/internal/agateserve"
 	"agategate/io/agatelog"
 )
 
@@ -177,13 +179,9 @@
 }
 
 func (h *handler) postMembers(c echo.Context) error {
-	if !h.acquireUpload() {
-		return sendBusy(c)
-	}
-	defer h.releaseUpload()
 	var r MemberRequest
 	if err := h.decodeJSON(c, &r); err != nil {
-		return sendBodyError(c, err)
+		return h.sendBodyError(c, err)
 	}
 	if text := r.validate(); text != "" {
 		return sendError(c, http.StatusBadRequest, text)
@@ -202,7 +200,11 @@
 // trailing data are errors.
 func (h *handler) decodeJSON(c echo.Context, dst any) error {
 	const maxBytes = 64 << 10
-	d := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, min(maxBytes, h.cfg.MaxBodyBytes)))
+	body, err := agateserve.ReadBody(c.Response(), c.Request(), min(maxBytes, h.cfg.MaxBodyBytes))
+	if err != nil {
+		return err
+	}
+	d := json.NewDecoder(bytes.NewReader(body.Bytes()))
 	d.DisallowUnknownFields()
 	if err := d.Decode(dst); err != nil {
 		return err
--- a/io/agaterun/run.go
+++ b/io/agaterun/run.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"agategate/internal/agatebuffer"
 	"agategate/io/agatecli"
 	"agategate/io/agatecontrol"
 	"agategate/io/agatedemo"
@@ -88,6 +89,7 @@
 // entry runs an entry process until ctx ends, then shuts it down gracefully.
 func (r *runner) entry(ctx context.Context, s agatesettings.Entry) error {
 	log := r.openLog(s.Name, s.Log)
+	agatebuffer.SetProcessMemory(int64(s.Limit.Memory))
 	r.grace.Store(int64(s.Grace))
 	tlsCfg, err := tlsConfig(log, s.TLS)
 	if err != nil {
@@ -111,6 +113,7 @@
 // It returns an error if the replica fails.
 func (r *runner) control(ctx context.Context, s agatesettings.Control) error {
 	log := r.openLog(s.Name, s.Log)
+	agatebuffer.SetProcessMemory(int64(s.Limit.Memory))
 	r.grace.Store(int64(s.Grace))
 	tlsCfg, err := tlsConfig(log, s.TLS)
 	if err != nil {
--- a/io/agatesettings/settings.go
+++ b/io/agatesettings/settings.go
@@ -50,6 +50,7 @@
 	Reply       int `toml:"reply" default:"4194304" unit:"bytes" min:"1" max:"1073741824" help:"largest answer of an upstream"`
 	Header      int `toml:"header" default:"65536" unit:"bytes" min:"1024" max:"1048576" help:"largest header of a request"`
 	Connections int `toml:"connections" default:"4096" unit:"connections" min:"1" max:"1000000" help:"open connections of callers"`
+	Memory      int `toml:"memory" default:"536870912" unit:"bytes" min:"16777216" max:"1099511627776" help:"memory of the process; requests and answers hold at most half of it"`
 }
 
 // EntryTimeouts holds the timeouts of an entry process.
@@ -96,6 +97,7 @@
 	Body        int `toml:"body" default:"4194304" unit:"bytes" min:"1024" max:"4194304" help:"largest body of an operator's request"`
 	Header      int `toml:"header" default:"65536" unit:"bytes" min:"1024" max:"1048576" help:"largest header of an operator's request"`
 	Connections int `toml:"connections" default:"64" unit:"connections" min:"1" max:"10000" help:"open connections of operators"`
+	Memory      int `toml:"memory" default:"1073741824" unit:"bytes" min:"16777216" max:"1099511627776" help:"memory of the process; requests and messages that arrive hold at most a quarter of it"`
 }
 
 // ControlTimeouts holds the timeouts of a control process.
--- a/io/agateupstream/bodies.go
+++ b/io/agateupstream/bodies.go
@@ -1,10 +1,14 @@
 package agateupstream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
 	"sync"
+	"time"
+
+	"agategate/internal/agatebuffer"
 )
 
 const (
@@ -15,23 +19,14 @@
 	unboundedBodyMultiple = 16
 	minUnboundedBodyBytes = 256 << 10
 	minCompleteBodies     = 16
-	// initialBodyBytes is the initial size of the buffer of a body.
-	initialBodyBytes = 512
 )
 
-var (
-	errTotalBodySize = errors.New("agateupstream: too many bytes of response bodies in memory")
-	errEndlessBody   = errors.New("agateupstream: response body without a length grows far beyond earlier ones")
-)
+var errEndlessBody = errors.New("agateupstream: response body without a length grows far beyond earlier ones")
 
-// bodies bounds the response bodies that are being read. Bytes that are no response may
-// come without end, from several upstreams at once. It is safe for concurrent use.
+// bodies bounds the response bodies of each service. Bytes that are no response may come
+// without end. It is safe for concurrent use.
 type bodies struct {
-	maxTotal int64
-
 	mu       sync.Mutex
-	total    int64
-	reading  map[*bodyReader]struct{}
 	services map[string]*serviceBodies // by Call.Service
 }
 
@@ -44,88 +39,107 @@
 	exceeding *bodyReader
 }
 
-func newBodies(maxTotal int64) *bodies {
-	return &bodies{maxTotal: maxTotal, reading: map[*bodyReader]struct{}{}, services: map[string]*serviceBodies{}}
-}
+func newBodies() *bodies { return &bodies{services: map[string]*serviceBodies{}} }
 
-// bodyReader reads one body. Its fields are guarded by bodies.mu.
+// bodyReader reads one body.
 type bodyReader struct {
 	service   string
 	unbounded bool // the body has no declared length
-	size      int64
-	yielded   bool              // the body was given up for others
+	charge    *agatebuffer.Charge
+	deadline  time.Time
 	abort     func()            // interrupts a read
 	stream    func(part []byte) // gets each part as it arrives; may be nil
+	size      int64             // bytes that have been read
+	free      []byte            // the rest of the last block of a streamed body
 }
 
-// read reads a whole body of at most limit bytes. r.abort interrupts the read from
-// another goroutine. If the bodies of all calls exceed the total, the largest one is
-// given up.
-func (b *bodies) read(body io.Reader, limit int64, r *bodyReader) ([]byte, error) {
-	b.mu.Lock()
-	b.reading[r] = struct{}{}
-	b.mu.Unlock()
+// read reads a whole body of at most limit bytes. It reads no faster than the account has
+// room, and returns the body unless it is streamed. r.abort interrupts a read from another
+// goroutine.
+func (b *bodies) read(ctx context.Context, body io.Reader, limit int64, r *bodyReader) (*agatebuffer.Buffer, error) {
 	defer b.remove(r)
-	out := make([]byte, 0, initialBodyBytes)
-	for {
-		if len(out) == cap(out) {
-			out = append(out, 0)[:len(out)] // grows the buffer
-		}
-		n, err := body.Read(out[len(out):cap(out)])
-		out = out[:len(out)+n]
-		if err := b.grow(r, int64(n)); err != nil {
-			return nil, err
-		}
-		if r.stream != nil && n > 0 {
-			r.stream(out[len(out)-n:])
+	arrival := r.charge.ReceiveResponse(r.abort)
+	out, err := b.readAll(ctx, body, limit, r, arrival)
+	if err != nil {
+		if arrival.GaveWay() {
+			err = agatebuffer.ErrFull
 		}
+		arrival.Drop()
+		return nil, err
+	}
+	arrival.Keep()
+	b.recordComplete(r)
+	return out, nil
+}
+
+func (b *bodies) readAll(ctx context.Context, body io.Reader, limit int64, r *bodyReader, arrival *agatebuffer.Arrival) (*agatebuffer.Buffer, error) {
+	out := &agatebuffer.Buffer{}
+	for {
+		part, err := b.readPart(ctx, body, r, out, arrival)
+		r.size += int64(len(part))
 		switch {
-		case int64(len(out)) > limit:
+		case r.size > limit:
 			return nil, errBodySize
+		case b.endless(r):
+			return nil, errEndlessBody
+		case err == nil, errors.Is(err, io.EOF):
+			if r.stream != nil && len(part) > 0 {
+				r.stream(part)
+			}
+		}
+		switch {
 		case errors.Is(err, io.EOF):
-			b.recordComplete(r)
 			return out, nil
 		case err != nil:
-			return out, err
+			return nil, err
 		}
 	}
 }
 
-// grow adds n bytes to a body. It returns an error if the body is given up.
-func (b *bodies) grow(r *bodyReader, n int64) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r.yielded {
-		return errTotalBodySize
+// readPart reads the next part of a body into out, which keeps nothing of a streamed one.
+func (b *bodies) readPart(ctx context.Context, body io.Reader, r *bodyReader, out *agatebuffer.Buffer, arrival *agatebuffer.Arrival) ([]byte, error) {
+	if r.stream != nil {
+		return r.readStreamed(ctx, body)
 	}
-	r.size += n
-	b.total += n
-	for b.total > b.maxTotal {
-		largest := r
-		for other := range b.reading {
-			if !other.yielded && other.size > largest.size {
-				largest = other
-			}
-		}
-		largest.yielded = true
-		b.total -= largest.size
-		largest.size = 0
-		if largest == r {
-			return errTotalBodySize
+	block, err := out.Room(func(n int64) error { return arrival.GrowResponse(ctx, r.deadline, n) })
+	if err != nil {
+		return nil, err
+	}
+	n, err := body.Read(block)
+	return out.Extend(n), err
+}
+
+// readStreamed reads the next part of a streamed body. Small parts share a block, which
+// stays charged until the receiver has released all of its bytes.
+func (r *bodyReader) readStreamed(ctx context.Context, body io.Reader) ([]byte, error) {
+	if len(r.free) == 0 {
+		if err := r.charge.GrowStream(ctx, r.deadline, agatebuffer.StreamBlockBytes); err != nil {
+			return nil, err
 		}
-		largest.abort()
+		r.free = make([]byte, agatebuffer.StreamBlockBytes)
 	}
-	if r.unbounded && r.size > b.unboundedLimit(r) {
-		return errEndlessBody
+	n, err := body.Read(r.free)
+	part := r.free[:n:n]
+	r.free = r.free[n:]
+	if err != nil {
+		r.charge.Shrink(int64(len(r.free)))
 	}
-	return nil
+	return part, err
+}
+
+// endless reports whether a body without a declared length is taken for one without end.
+func (b *bodies) endless(r *bodyReader) bool {
+	if !r.unbounded {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return r.size > b.unboundedLimit(r)
 }
 
 func (b *bodies) remove(r *bodyReader) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.total -= r.size
-	delete(b.reading, r)
 	if s := b.services[r.service]; s != nil && s.exceeding == r {
 		s.exceeding = nil
 	}
--- a/io/agateupstream/call.go
+++ b/io/agateupstream/call.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"agategate/internal/agatebuffer"
 )
 
 // Errors of Result.Err that the users of a Pool may distinguish.
@@ -28,7 +30,10 @@
 	Header http.Header
 	// Host is the Host header; the default is the address.
 	Host string
-	Body []byte
+	Body *agatebuffer.Buffer
+	// Charge is charged for the response while it arrives; what is passed to Stream is
+	// released by its receiver. By default the response is charged until Do returns.
+	Charge *agatebuffer.Charge
 	// Action marks a request that is not idempotent and must not run twice. It
 	// is sent only on a new connection or one that was active within
 	// Config.ActionIdleTimeout.
@@ -53,8 +58,9 @@
 	// Stream is called with the head of a response whose declared length is at least
 	// MinStreamBytes, unless it states that the request was not run. If it does not
 	// return nil, the function that it returns is called with each part of the body as
-	// it arrives, and must not modify it. Do reads the whole body in any case. Stream
-	// may be nil.
+	// it arrives, and must not modify it. It may keep the part until it has released its
+	// bytes from Charge. Do reads the whole body in any case, and its result has no body
+	// then. Stream may be nil.
 	Stream func(status int, header http.Header, size int64) func(part []byte)
 }
 
@@ -87,7 +93,8 @@
 	TimedOut
 	// Canceled: the context was canceled.
 	Canceled
-	// TooLarge: the response header or body exceeds its limit.
+	// TooLarge: the response header or body exceeds its limit, or the body found no room
+	// in the account.
 	TooLarge
 	// Busy: as many connections to the upstream are in use as allowed.
 	Busy
@@ -112,7 +119,7 @@
 	// Status, Header and Body are set if Kind is Answered or Shed.
 	Status int
 	Header http.Header
-	Body   []byte
+	Body   *agatebuffer.Buffer
 	// MayHaveRun reports that the upstream may have run the request: bytes were
 	// written and Kind is not Shed.
 	MayHaveRun bool
--- a/io/agateupstream/exchange.go
+++ b/io/agateupstream/exchange.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"agategate/internal/agatebuffer"
 )
 
 // maxInlineWriteBytes is the request size up to which the request is written
@@ -94,10 +96,10 @@
 		return x.fail(net.ErrClosed), true
 	}
 	x.writeStart = time.Now()
-	if len(head)+len(x.call.Body) > maxInlineWriteBytes {
+	if int64(len(head))+x.call.Body.Len() > maxInlineWriteBytes {
 		return x.writeLong(head)
 	}
-	n, err := c.tcp.Write(append(head, x.call.Body...))
+	n, err := c.tcp.Write(append(head, x.call.Body.Bytes()...))
 	x.mayHaveRun = n > 0
 	if err != nil && n == 0 {
 		return x.fail(err), true
@@ -120,7 +122,7 @@
 		defer close(x.writeDone)
 		// A failed write does not close the connection, because an early
 		// response may be arriving. The reader detects the end of the connection.
-		_, err := tcp.Write(x.call.Body)
+		_, err := x.call.Body.WriteTo(tcp)
 		x.bodyWritten = err == nil
 	}()
 	return Result{}, false
@@ -179,9 +181,11 @@
 	if resp.Body != http.NoBody && resp.ContentLength > limit {
 		return x.tooLarge()
 	}
-	body, err := x.bodies.read(resp.Body, limit, &bodyReader{
+	body, err := x.bodies.read(x.ctx, resp.Body, limit, &bodyReader{
 		service:   cmp.Or(x.call.Service, x.call.Upstream),
 		unbounded: resp.Body != http.NoBody && resp.ContentLength < 0,
+		charge:    x.call.Charge,
+		deadline:  x.conn.deadline,
 		abort:     x.conn.close,
 		stream:    x.stream(resp),
 	})
@@ -228,7 +232,7 @@
 	<-x.writeDone
 }
 
-func (x *exchange) result(resp *http.Response, body []byte) Result {
+func (x *exchange) result(resp *http.Response, body *agatebuffer.Buffer) Result {
 	r := Result{
 		Kind:       Answered,
 		Status:     resp.StatusCode,
@@ -257,7 +261,7 @@
 		r.Kind = Canceled
 	case x.ctx.Err() != nil:
 		r.Kind = TimedOut
-	case errors.Is(err, errHeaderSize), errors.Is(err, errBodySize), errors.Is(err, errTotalBodySize), errors.Is(err, errEndlessBody):
+	case errors.Is(err, errHeaderSize), errors.Is(err, errBodySize), errors.Is(err, agatebuffer.ErrFull), errors.Is(err, errEndlessBody):
 		r.Kind = TooLarge
 	case isTimeout(err):
 		r.Kind = TimedOut
--- a/io/agateupstream/header.go
+++ b/io/agateupstream/header.go
@@ -54,7 +54,7 @@
 	h.Del("Content-Length")
 	h.Del(deadlineHeader)
 	if needsLength(c) {
-		h.Set("Content-Length", strconv.Itoa(len(c.Body)))
+		h.Set("Content-Length", strconv.FormatInt(c.Body.Len(), 10))
 	}
 	return h
 }
@@ -64,7 +64,7 @@
 	case http.MethodPost, http.MethodPut, http.MethodPatch:
 		return true
 	}
-	return len(c.Body) > 0
+	return c.Body.Len() > 0
 }
 
 // validate rejects calls whose request line the upstream could parse as anything
--- a/io/agateupstream/pool.go
+++ b/io/agateupstream/pool.go
@@ -33,6 +33,7 @@
 	"syscall"
 	"time"
 
+	"agategate/internal/agatebuffer"
 	"agategate/internal/agatesocket"
 )
 
@@ -40,7 +41,6 @@
 // without one.
 const (
 	DefaultMaxBodyBytes      = 8 << 20
-	DefaultMaxTotalBodyBytes = 32 << 20
 	DefaultMaxHeaderBytes    = 64 << 10
 	DefaultMaxConns          = 32
 	DefaultIdleTimeout       = 30 * time.Second
@@ -54,9 +54,9 @@
 type Config struct {
 	// MaxBodyBytes is the maximum size of a response body; default 8 MiB.
 	MaxBodyBytes int64
-	// MaxTotalBodyBytes is the maximum size of all response bodies that are being read.
-	// The largest one is given up if they exceed it. The default is 32 MiB.
-	MaxTotalBodyBytes int64
+	// Account is charged for the responses that are being read, which wait for room in it.
+	// The default is an account of its own.
+	Account *agatebuffer.Account
 	// MaxHeaderBytes is the maximum size of a response header, including those
 	// of interim responses; default 64 KiB.
 	MaxHeaderBytes int64
@@ -104,8 +104,8 @@
 	if cfg.MaxBodyBytes <= 0 {
 		cfg.MaxBodyBytes = DefaultMaxBodyBytes
 	}
-	if cfg.MaxTotalBodyBytes <= 0 {
-		cfg.MaxTotalBodyBytes = DefaultMaxTotalBodyBytes
+	if cfg.Account == nil {
+		cfg.Account = agatebuffer.New(agatebuffer.Config{})
 	}
 	if cfg.MaxHeaderBytes <= 0 {
 		cfg.MaxHeaderBytes = DefaultMaxHeaderBytes
@@ -143,7 +143,7 @@
 		cfg:       cfg,
 		dialer:    agatesocket.NewDialer(agatesocket.Config{ConnectTimeout: cfg.ConnectTimeout, TCPUserTimeout: cfg.TCPUserTimeout}),
 		stop:      make(chan struct{}),
-		bodies:    newBodies(cfg.MaxTotalBodyBytes),
+		bodies:    newBodies(),
 		upstreams: map[string]*upstreamConns{},
 	}
 	go p.sweep()
@@ -246,6 +246,10 @@
 	if call.Deadline.IsZero() {
 		call.Deadline = start.Add(DefaultTimeout)
 	}
+	if call.Charge == nil {
+		call.Charge = p.cfg.Account.Open().Begin()
+		defer call.Charge.End()
+	}
 	r := p.do(ctx, &call)
 	r.Elapsed = time.Since(start)
 	return r
