--- a/internal/agateserve/body.go
+++ b/internal/agateserve/body.go
@@ -21,6 +21,8 @@
 func chargeRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := r.Context().Value(connKey{}).(*limitConn)
+		c.beginRequest()
+		defer c.endRequest()
 		c.charge = c.holder.Begin()
 		defer c.charge.End()
 		if err := c.charge.Grow(headBytes(r)); err != nil {
--- a/internal/agateserve/serve.go
+++ b/internal/agateserve/serve.go
@@ -34,8 +34,8 @@
 	Handler http.Handler
 	// TLS holds the server certificate. Nil means plain text.
 	TLS *tls.Config
-	// MaxConns limits the open connections. Excess connections are closed
-	// immediately. The default is 4096.
+	// MaxConns limits the open connections. Beyond it, those without a request are closed,
+	// the oldest first. The default is 4096.
 	MaxConns int
 	// Account is charged for the requests that are read. The default is an account of
 	// its own.
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -81,6 +81,9 @@
 	// Account is charged for the requests that arrive. The default is one
 	// for Settings.Limit.Memory.
 	Account *agatebuffer.Account
+	// MaxPeerConns limits the open connections of other processes. The default is that of
+	// agatelink.
+	MaxPeerConns int
 	// Dial opens connections to other processes. The default sets socket
 	// options that detect dead connections early.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
@@ -228,7 +231,7 @@
 // listen opens the gRPC listener, on which a fresh replica reports to others
 // that it belongs to no group, and the operators' interface.
 func (c *Control) listen() error {
-	ln, err := agatelink.Listen(c.cfg.Settings.PeerAddr)
+	ln, err := agatelink.Listen(c.cfg.Settings.PeerAddr, c.cfg.MaxPeerConns)
 	if err != nil {
 		return fmt.Errorf("agatecontrol: %w", err)
 	}
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -214,7 +214,7 @@
 
 // listen opens the listeners for agategate processes, callers and operators.
 func (e *Entry) listen() error {
-	ln, err := agatelink.Listen(e.cfg.Settings.PeerAddr)
+	ln, err := agatelink.Listen(e.cfg.Settings.PeerAddr, 0)
 	if err != nil {
 		return fmt.Errorf("agateentry: %w", err)
 	}
--- a/io/agatelink/link.go
+++ b/io/agatelink/link.go
@@ -166,16 +166,19 @@
 	clear(d.conns)
 }
 
-// maxConns limits the connections to one listener.
-const maxConns = 4096
+// defaultMaxConns limits the connections to one listener.
+const defaultMaxConns = 4096
 
 // Listen listens for connections from other agategate processes. Connections
-// beyond 4,096 wait until another one closes.
-func Listen(addr netip.AddrPort) (net.Listener, error) {
+// beyond maxConns wait until another one closes; 0 selects the default of 4,096.
+func Listen(addr netip.AddrPort, maxConns int) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, fmt.Errorf("agatelink: %w", err)
 	}
+	if maxConns <= 0 {
+		maxConns = defaultMaxConns
+	}
 	return netutil.LimitListener(ln, maxConns), nil
 }
 
