Messages between processes are charged to the account while they arrive

What callers saw: a client of the port for other processes that begins messages of legal size and stops, in large frames or in very small ones, ended an entry or control process for its memory.

Cause: gRPC reads each message of up to 16 MiB whole, of up to 1,024 calls on each of 4,096 connections, and nothing bounded their sum. Frames of 8 bytes take several times their data.

Change: the connections of agatelink servers follow the frames of both directions and charge the account of the process for each open call, frame and byte, until the next message of the call is complete or the call ends. Without room the connection is not read further; the one that holds most is closed. Heads of calls have at most 64 KiB in place of the default of 16 MiB.

--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -78,7 +78,7 @@
 	AdminTLS *tls.Config
 	// Metrics may be nil.
 	Metrics *agatemetrics.Set
-	// Account is charged for the requests that arrive. The default is one
+	// Account is charged for the requests and messages that arrive. The default is one
 	// for Settings.Limit.Memory.
 	Account *agatebuffer.Account
 	// MaxPeerConns limits the open connections of other processes. The default is that of
@@ -235,7 +235,7 @@
 	if err != nil {
 		return fmt.Errorf("agatecontrol: %w", err)
 	}
-	c.server = agatelink.NewServer(c.cfg.ServerTLS)
+	c.server = agatelink.NewServer(agatelink.ServerConfig{TLS: c.cfg.ServerTLS, Account: c.cfg.Account})
 	agatewire.RegisterQuorumServer(c.server, &quorumService{c: c})
 	agatewire.RegisterControlServer(c.server, &controlService{c: c})
 	go func() { _ = c.server.Serve(ln) }() // ends with Stop
--- a/io/agateentry/entry.go
+++ b/io/agateentry/entry.go
@@ -218,7 +218,7 @@
 	if err != nil {
 		return fmt.Errorf("agateentry: %w", err)
 	}
-	e.grpc = agatelink.NewServer(e.cfg.ServerTLS)
+	e.grpc = agatelink.NewServer(agatelink.ServerConfig{TLS: e.cfg.ServerTLS, Account: e.account})
 	agatewire.RegisterPeerServer(e.grpc, &peerService{e: e})
 	go func() { _ = e.grpc.Serve(ln) }() // ends with Stop
 	e.caller, err = agateserve.Start(agateserve.Config{
--- a/io/agatelink/link.go
+++ b/io/agatelink/link.go
@@ -36,6 +36,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"agategate/internal/agatebuffer"
 	"agategate/internal/agatesocket"
 )
 
@@ -48,6 +49,8 @@
 	// maxConsecutiveTimeouts is the number of consecutive calls that exceed
 	// their deadline before the connection is replaced.
 	maxConsecutiveTimeouts = 2
+	// maxHeaderBytes limits the header of a call.
+	maxHeaderBytes = 64 << 10
 	// maxStreams limits the concurrent calls on one connection.
 	maxStreams = 1024
 	// maxConnectionIdle is the time after which a server closes a connection
@@ -182,15 +185,29 @@
 	return netutil.LimitListener(ln, maxConns), nil
 }
 
+// ServerConfig configures a server.
+type ServerConfig struct {
+	// TLS holds the server certificate and the trusted certificate authorities. Nil means
+	// plain text.
+	TLS *tls.Config
+	// Account is charged for calls and messages while they arrive. The default is an
+	// account of its own.
+	Account *agatebuffer.Account
+}
+
 // NewServer returns a gRPC server with limits on message sizes, streams and
-// handshake times. A nil tlsConfig means plain text.
-func NewServer(tlsConfig *tls.Config) *grpc.Server {
+// handshake times.
+func NewServer(cfg ServerConfig) *grpc.Server {
 	creds := insecure.NewCredentials()
-	if tlsConfig != nil {
-		creds = credentials.NewTLS(tlsConfig)
+	if cfg.TLS != nil {
+		creds = credentials.NewTLS(cfg.TLS)
+	}
+	if cfg.Account == nil {
+		cfg.Account = agatebuffer.New(agatebuffer.Config{})
 	}
 	return grpc.NewServer(
-		grpc.Creds(creds),
+		grpc.Creds(&meteredCredentials{TransportCredentials: creds, account: cfg.Account}),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxStreams),
