--- a/io/agatefront/conn.go
+++ b/io/agatefront/conn.go
@@ -112,12 +112,13 @@
 		}
 		x.previous = previous
 		previous = x.finished
+		x.users.Add(1) // the processing below
 		if !c.enqueue(x) {
+			x.release()
 			x.release()
 			c.awaitClose()
 			return
 		}
-		x.users.Add(1)
 		c.f.wg.Go(func() {
 			defer x.release()
 			c.f.handle(c, x)
