--- a/internal/agatebuffer/account_test.go
+++ b/internal/agatebuffer/account_test.go
@@ -253,6 +253,11 @@
 			assert.Assert(t, bytes.Equal(b.Bytes(), body[:size]), "%s of %d bytes", name, size)
 			used, _ := a.Usage()
 			assert.Assert(t, used >= int64(size) && used <= int64(size)+largestBlockBytes+firstBlockBytes, "%d charged for %d", used, size)
+			joined, err := b.Join(charge)
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(joined, body[:size]), "%s of %d bytes", name, size)
+			used, _ = a.Usage()
+			assert.Assert(t, used >= int64(size) && used <= int64(size)+firstBlockBytes, "%d charged for %d", used, size)
 			if size > 0 {
 				_, err = Read(bytes.NewReader(body[:size]), int64(size-1), charge.Receive(func() {}))
 				assert.Assert(t, errors.Is(err, ErrTooLarge))
--- a/internal/agatebuffer/buffer.go
+++ b/internal/agatebuffer/buffer.go
@@ -131,6 +131,23 @@
 	return out
 }
 
+// Join returns all bytes in one slice, for which c is charged in place of the buffer, which
+// must not be used any more. c is what the buffer was read for.
+func (b *Buffer) Join(c *Charge) ([]byte, error) {
+	if b == nil || len(b.blocks) == 1 {
+		return b.Bytes(), nil
+	}
+	if err := c.Grow(b.size); err != nil {
+		return nil, err
+	}
+	out := b.Bytes()
+	for _, block := range b.blocks {
+		c.Shrink(int64(cap(block)))
+	}
+	b.blocks = nil
+	return out, nil
+}
+
 // String returns the bytes as a string.
 func (b *Buffer) String() string { return string(b.Bytes()) }
 
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -125,6 +125,7 @@
 	upstreamLimits upstreamLimits
 	upstreamLoads  upstreamLoads
 	plans          planCache
+	decoding       chan struct{} // semaphore: one read decodes the plan at a time, to bound memory
 	quotas         quotaBank
 	updates        broadcast
 	healer         *agateheal.Healer
@@ -177,6 +178,7 @@
 		sessions:        newSessions(),
 		metrics:         &metrics{set: cfg.Metrics},
 		revisionApplied: make(chan struct{}, 1),
+		decoding:        make(chan struct{}, 1),
 		failed:          make(chan struct{}),
 	}
 	healConfig := agateheal.Config{}
--- a/io/agatecontrol/plan.go
+++ b/io/agatecontrol/plan.go
@@ -139,6 +139,12 @@
 	if err != nil {
 		return nil, c.planErrorResult(err)
 	}
+	select {
+	case c.decoding <- struct{}{}:
+		defer func() { <-c.decoding }()
+	case <-ctx.Done():
+		return nil, PlanResult{Outcome: PlanUnknown, Reason: "other reads of the plan are in progress"}
+	}
 	doc, err := cur.plan()
 	if err != nil {
 		return nil, PlanResult{Outcome: PlanUnknown, Reason: err.Error()}
--- a/io/agateops/config.go
+++ b/io/agateops/config.go
@@ -139,18 +139,17 @@
 // inventoryFileName is the file name in the problems of a reply.
 const inventoryFileName = "inventory.toml"
 
-// readBody reads a document, and charges for the copy in one piece that is parsed, and for
-// what parsing it takes.
+// readBody reads a document, and charges for what parsing it takes.
 func (h *handler) readBody(c echo.Context) ([]byte, error) {
 	body, err := agateserve.ReadBody(c.Response(), c.Request(), h.cfg.MaxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
 	charge := agateserve.Charge(c.Request())
-	if err := charge.Grow(body.Len()); err != nil {
+	doc, err := body.Join(charge)
+	if err != nil {
 		return nil, err
 	}
-	doc := body.Bytes()
 	return doc, charge.Grow(agatebuffer.DecodedBytes(doc))
 }
 
--- a/test/agatecrowd/crowd_test.go
+++ b/test/agatecrowd/crowd_test.go
@@ -17,8 +17,13 @@
 	"gotest.tools/v3/assert"
 )
 
-// sendTimeout limits how long a client of a crowd sends, as the process may stop reading.
-const sendTimeout = 8 * time.Second
+const (
+	// sendTimeout limits how long a client of a crowd sends, as the process may stop
+	// reading.
+	sendTimeout = 8 * time.Second
+	// unreadTime is how long the process has for answers that are not read.
+	unreadTime = 2 * time.Second
+)
 
 // crowd is one line of testdata/crowds.txt.
 type crowd struct {
@@ -27,10 +32,12 @@
 	clients                int
 	method, path           string
 	// framing is "length", "chunks:N" with chunks of N bytes, "frames:N" for gRPC messages
-	// in HTTP/2 frames of N bytes, or "head" for clients that send a part of a head.
+	// in HTTP/2 frames of N bytes, "head" for clients that send a part of a head, or
+	// "unread" for clients that do not read the answer.
 	framing string
 	unit    int
-	// content is "zeros", or "objects" for a document of many small JSON objects.
+	// content is "zeros", "objects" for a document of many small JSON objects, or "routes:N"
+	// for N more routes in the plan.
 	content string
 	// size is the size of each body, of which each client sends sent bytes.
 	size, sent int64
@@ -54,6 +61,9 @@
 	if found {
 		c.unit = int(number(unit))
 	}
+	if routes, ok := strings.CutPrefix(c.content, "routes:"); ok {
+		c.bounds.routes = int(number(routes))
+	}
 	if f[13] != "-" {
 		c.want = int(number(f[13]))
 	}
@@ -89,6 +99,9 @@
 		sending.Go(clients[i].send)
 	}
 	sending.Wait()
+	if c.framing == "unread" {
+		time.Sleep(unreadTime)
+	}
 	status, err := d.ordinary[c.listener]()
 	if err != nil || status != http.StatusOK {
 		t.Errorf("ordinary request beside the crowd: %d, %v", status, err)
@@ -152,6 +165,8 @@
 	switch c.framing {
 	case "length":
 		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", c.size)
+	case "unread":
+		b.WriteString("Content-Length: 0\r\n\r\n")
 	case "chunks":
 		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
 	}
@@ -172,6 +187,11 @@
 		sendMessage(conn, cl.crowd, cl.read)
 		return
 	}
+	if cl.crowd.framing == "unread" {
+		_, _ = io.WriteString(conn, cl.head) // the process may have closed the connection
+		close(cl.read)
+		return
+	}
 	go cl.readAnswer()
 	w := bufio.NewWriterSize(conn, 64<<10)
 	_, _ = w.WriteString(cl.head)
--- a/test/agatecrowd/deployment_test.go
+++ b/test/agatecrowd/deployment_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,7 @@
 	memoryBytes int64
 	descriptors int
 	bodyBytes   int64 // the largest body of a caller's request
+	routes      int   // routes of the plan besides the one that is used
 }
 
 // deployment is one control process, one entry process and one upstream.
@@ -154,7 +156,7 @@
 		body := fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"orders","version":"v1","zone":"a-1","slots":64},"status":{"state":"ready","sequence":%d,"warmup_left_s":0}}`, upstream, lastID.Add(1))
 		return send(http.MethodPut, api+"instances/orders-1", "", nil, body)
 	}
-	plan := fmt.Sprintf(platformPlan, b.bodyBytes)
+	plan := fmt.Sprintf(platformPlan, b.bodyBytes, otherRoutes(b.routes))
 	await(t, "plan", func() (int, error) {
 		return send(http.MethodPut, api+"config", "", http.Header{"If-Match": {"0"}}, plan)
 	})
@@ -179,7 +181,17 @@
 const platformPlan = `{"version":1,"services":[{"name":"orders","health_path":"/health","max_conns":330,"warmup_s":3,"warmup_per_s":100}],` +
 	`"limits":{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout_s":3,"idle_timeout_s":15},` +
 	`"virtual_hosts":[{"host":"shop.example","paths":[{"name":"orders","path_prefix":"/orders/","kind":"unsafe","timeout_s":20,` +
-	`"target_latency_s":0.2,"priority":0,"service":"orders","max_attempts":2,"sticky":false,"allowed_regions":[]}]}]}`
+	`"target_latency_s":0.2,"priority":0,"service":"orders","max_attempts":2,"sticky":false,"allowed_regions":[]}%s]}]}`
+
+// otherRoutes returns n routes that no request matches, as a part of the plan.
+func otherRoutes(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, `,{"name":"route-%d","path_prefix":"/other/%d/","kind":"safe","timeout_s":20,"target_latency_s":0.2,"priority":0,`+
+			`"service":"orders","max_attempts":2,"sticky":false,"allowed_regions":[]}`, i, i)
+	}
+	return b.String()
+}
 
 func platformSettings(name string, ip, control netip.Addr, data string, b bounds) string {
 	listen := fmt.Sprintf("  front: \"%s:8001\"\n  ready: \"%s:8002\"", ip, ip)
@@ -202,7 +214,8 @@
 `, name, ip, listen, control, b.memoryBytes>>20, b.descriptors, data)
 }
 
-// startUpstream starts an upstream that reads each body and records the request's id.
+// startUpstream starts an upstream that reads each body, records the request's id and
+// answers with as many bytes as the query asks for.
 func startUpstream(t *testing.T, ran *runs) netip.AddrPort {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -215,6 +228,9 @@
 		ran.add(id)
 		w.Header().Set("X-Request-Id", id)
 		w.Header().Set("X-Response-Stamp", "orders-1")
+		size, _ := strconv.Atoi(r.URL.Query().Get("size")) // 0 if it has none
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = io.CopyN(w, newContent("zeros"), int64(size)) // the caller may be gone
 	})}
 	go func() { _ = server.Serve(ln) }() // ends with Close
 	t.Cleanup(func() { _ = server.Close() })
