--- a/test/agatecrowd/crowd_test.go
+++ b/test/agatecrowd/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,8 @@
 	"gotest.tools/v3/assert"
 )
 
+var crowdFile = flag.String("crowds", "testdata/crowds.txt", "file with the crowds to send")
+
 const (
 	// sendTimeout limits how long a client of a crowd sends, as the process may stop
 	// reading.
@@ -74,7 +77,7 @@
 // against clients that end a process by what they make it hold, or that keep it from
 // answering others.
 func TestCrowd(t *testing.T) {
-	text, err := os.ReadFile("testdata/crowds.txt")
+	text, err := os.ReadFile(*crowdFile)
 	assert.NilError(t, err)
 	for line := range strings.Lines(string(text)) {
 		if line = strings.TrimSpace(line); line == "" || line[0] == '#' {
