agatebuffer: the largest body leaves room for the rest of its last block

A body between the common part less one block and the common part was read and then refused with 503, each time it came again; it gets 413 before it is read now. What a header field takes in memory is one constant.

--- a/internal/agatebuffer/account.go
+++ b/internal/agatebuffer/account.go
@@ -40,6 +40,9 @@
 	DefaultHolders = 4096
 )
 
+// FieldBytes is what a parsed header field takes in memory besides its text.
+const FieldBytes = 128
+
 const (
 	// reserveShare is the part of the account that is divided among the holders.
 	reserveShare = 0.25
@@ -102,8 +105,8 @@
 }
 
 // Largest returns the size of the largest body that the account can hold, if it holds no
-// other one.
-func (a *Account) Largest() int64 { return a.common }
+// other one. The last block of a body may be larger than what is left of it.
+func (a *Account) Largest() int64 { return max(0, a.common-largestBlockBytes) }
 
 // Open returns a new holder. It needs no release: when its charges have ended, nothing is
 // left of it.
--- a/internal/agateserve/body.go
+++ b/internal/agateserve/body.go
@@ -8,13 +8,9 @@
 	"agategate/internal/agatebuffer"
 )
 
-const (
-	// fieldBytes is what a parsed header field takes in memory besides its text.
-	fieldBytes = 128
-	// fullRetryAfter is the Retry-After time in seconds of a request for which there is no
-	// memory.
-	fullRetryAfter = "1"
-)
+// fullRetryAfter is the Retry-After time in seconds of a request for which there is no
+// memory.
+const fullRetryAfter = "1"
 
 // chargeRequests charges the account for the head of each request, and gives handlers a
 // charge for its body.
@@ -38,7 +34,7 @@
 func headBytes(r *http.Request) int64 {
 	n := len(r.RequestURI)
 	for name, values := range r.Header {
-		n += fieldBytes + len(name)
+		n += agatebuffer.FieldBytes + len(name)
 		for _, v := range values {
 			n += len(v)
 		}
--- a/io/agatefront/receive.go
+++ b/io/agatefront/receive.go
@@ -17,8 +17,6 @@
 const (
 	// bodyTimeout limits the time in which a caller sends a body.
 	bodyTimeout = 10 * time.Second
-	// fieldBytes is what a parsed header field takes in memory besides its text.
-	fieldBytes = 128
 	// memoryRetryAfter is the Retry-After time of a request for whose bytes there is no
 	// memory: most of those that hold it end within that time.
 	memoryRetryAfter = time.Second
@@ -178,7 +176,7 @@
 	req, err := http.ReadRequest(c.br)
 	c.limit.charge = nil
 	if err == nil {
-		err = x.charge.Grow(int64(fieldBytes * len(req.Header)))
+		err = x.charge.Grow(int64(agatebuffer.FieldBytes * len(req.Header)))
 	}
 	switch {
 	case errors.Is(err, agatebuffer.ErrFull):
