Connections whose request has not arrived make room for new ones

What callers saw: clients that stop before the end of their bodies took all connections that the descriptors allow, for as long as a body may take, and each new connection of others was closed.

Cause: an entry host for plans closed the new connection, and an agateserve listener displaced only connections without a request in the handler, which reads the body.

Change: both close the connection that has had no whole request for the longest time. One whose request is in progress, or whose reply is being written, is not closed; what has been read of a request on the closed one is not processed.

--- a/internal/agateserve/body.go
+++ b/internal/agateserve/body.go
@@ -81,6 +81,11 @@
 		w.Header().Set("Connection", "close")
 		return nil, agatebuffer.ErrTooLarge
 	}
+	if c, ok := r.Context().Value(connKey{}).(*limitConn); ok {
+		// Until the body has arrived, the connection may be closed for a new one.
+		c.endRequest()
+		defer c.beginRequest()
+	}
 	control := http.NewResponseController(w)
 	arrival := charge.Receive(func() { _ = control.SetReadDeadline(time.Unix(0, 0)) }) // fails only if the connection is closed
 	body, err := agatebuffer.Read(r.Body, limit, arrival)
--- a/internal/agateserve/limit.go
+++ b/internal/agateserve/limit.go
@@ -11,7 +11,7 @@
 )
 
 // limitListener limits the number of open connections. If there are too many, the one
-// that has had no request for the longest time is closed: a crowd of idle or slow clients
+// that has had no whole request for the longest time is closed: a crowd of idle or slow clients
 // must not keep others out. Without such a one the new connection is closed. If it stayed
 // in the accept queue of the kernel, its client would wait without a response instead of
 // trying another host.
--- a/io/agatefront/conn.go
+++ b/io/agatefront/conn.go
@@ -47,7 +47,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		if f.conns.len() >= f.cfg.MaxCallerConns {
+		if f.conns.len() >= f.cfg.MaxCallerConns && !f.conns.displace() {
 			f.metrics.refused("connections")
 			_ = nc.Close()
 			continue
@@ -81,6 +81,9 @@
 	// inFlight is the number of requests that were queued and whose reply is not
 	// yet being written.
 	inFlight int
+	// writing is set while a reply is written, and quietSince is when the last one was.
+	writing    bool
+	quietSince time.Time
 	// closing is set when no further request is accepted.
 	closing bool
 }
@@ -88,7 +91,7 @@
 const readBufferBytes = 4 << 10
 
 func newConn(f *Front, nc net.Conn) *conn {
-	c := &conn{f: f, nc: nc, holder: f.account.Open(), queue: make(chan *exchange, maxPipelined)}
+	c := &conn{f: f, nc: nc, holder: f.account.Open(), quietSince: time.Now(), queue: make(chan *exchange, maxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(f.ctx)
 	c.limit = &limitedReader{r: nc}
 	c.br = bufio.NewReaderSize(c.limit, readBufferBytes)
@@ -223,9 +226,7 @@
 		}
 		last := c.beginReply(x, r)
 		err := c.writeReply(x, r, last)
-		if r.stream != nil {
-			c.endStream()
-		}
+		c.endReply(r)
 		close(x.finished)
 		x.release()
 		if err != nil || last {
@@ -263,17 +264,45 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight--
+	c.writing = true
 	reconnect := r.preferOtherHost && !c.peer || c.f.stopping.Load()
 	last := x.closeAfter || r.close || (reconnect && c.inFlight == 0)
 	if last {
 		c.closing = true
 	}
 	if r.stream != nil {
-		c.inFlight++ // until endStream, as the upstream is still at work
+		c.inFlight++ // until endReply, as the upstream is still at work
 	}
 	return last
 }
 
+// endReply is called when a reply has been written, or cannot be.
+func (c *conn) endReply(r *reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.stream != nil {
+		c.inFlight--
+	}
+	c.writing = false
+	c.quietSince = time.Now()
+}
+
+// closeQuiet closes the connection if it has no request in progress: what has been read of
+// the next one is not processed. It reports whether it did.
+func (c *conn) closeQuiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.quiet() {
+		return false
+	}
+	c.closing = true
+	_ = c.nc.Close() // an error has no consequence: the connection is not used again
+	return true
+}
+
+// quiet reports whether the connection has no request in progress. c.mu must be held.
+func (c *conn) quiet() bool { return c.inFlight == 0 && !c.writing && !c.closing }
+
 func (c *conn) writeReply(x *exchange, r *reply, last bool) error {
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only if the connection is closed; the write then fails too
 	head, body := r.encode(x.req, last, c.f.headers.RequestID)
--- a/io/agatefront/conns.go
+++ b/io/agatefront/conns.go
@@ -42,6 +42,22 @@
 	return out
 }
 
+// displace closes the connection that has had no request for the longest time: a crowd of
+// idle or slow callers must not keep others out. It reports false if all connections have
+// requests in progress.
+func (s *conns) displace() bool {
+	var oldest *conn
+	var since time.Time
+	for _, c := range s.list() {
+		c.mu.Lock()
+		if c.quiet() && (oldest == nil || c.quietSince.Before(since)) {
+			oldest, since = c, c.quietSince
+		}
+		c.mu.Unlock()
+	}
+	return oldest != nil && oldest.closeQuiet()
+}
+
 // numInFlight returns the number of requests in flight on all connections.
 func (s *conns) numInFlight() int {
 	n := 0
--- a/io/agatefront/stream.go
+++ b/io/agatefront/stream.go
@@ -126,11 +126,3 @@
 		}
 	}
 }
-
-// endStream removes a request whose response was passed on while it arrived from the
-// count of requests in flight.
-func (c *conn) endStream() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.inFlight--
-}
