--- a/internal/agatebuffer/account_test.go
+++ b/internal/agatebuffer/account_test.go
@@ -268,3 +268,14 @@
 		}
 	}
 }
+
+// Guards against bodies that are read to their end and refused each time they come again,
+// although the account holds nothing else.
+func TestLargestBodyIsRead(t *testing.T) {
+	a := New(Config{Bytes: 1 << 20, Holders: 4096})
+	charge := a.Open().Begin()
+	assert.NilError(t, charge.Grow(10<<10)) // the head
+	b, err := Read(bytes.NewReader(make([]byte, a.Largest())), a.Largest(), charge.Receive(func() {}))
+	assert.NilError(t, err)
+	assert.Equal(t, b.Len(), a.Largest())
+}
