agateupstream: a response that a reset ends during an upload is incomplete

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the system reports a reset once, to the read or the write that meets it first, and later reads return EOF. The request's body is written beside the read of the response. If the write was blocked, it met the reset and its error was dropped, and the read took the EOF for the end of a response without a length.

Change: the exchange keeps the error of the write. A response that ends with its connection is complete only if the write did not meet a reset; a write that is still blocked is ended first. EPIPE does not count: the upstream had ended its response before it reset the connection, so all of it has been read. Responses with a length or chunks were not affected.

--- a/io/agateupstream/exchange.go
+++ b/io/agateupstream/exchange.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"agategate/internal/agatebuffer"
@@ -25,6 +26,7 @@
 var (
 	errNoLength = errors.New("agateupstream: response has neither Content-Length nor chunked encoding")
 	errBodySize = errors.New("agateupstream: response body too large")
+	errReset    = errors.New("agateupstream: connection reset before the end of the response")
 )
 
 // exchange is one request and its response on one connection.
@@ -43,10 +45,12 @@
 	inBody bool
 	// unresponsive is set if ReadIdleTimeout or the TCP user timeout expired.
 	unresponsive bool
-	// writeDone is closed once a concurrent write of the body has ended;
-	// bodyWritten is then set if it was written completely.
-	writeDone   chan struct{}
-	bodyWritten bool
+	// writeDone is closed once a concurrent write of the body has ended. It is nil if
+	// there is none.
+	writeDone chan struct{}
+	// writeErr is why the request was not written completely, or nil. writeDone guards
+	// it.
+	writeErr error
 	// id is the id of the request, or "".
 	id string
 	// unidentified is set if the response has no id although it could be written once
@@ -101,6 +105,7 @@
 	}
 	n, err := c.tcp.Write(append(head, x.call.Body.Bytes()...))
 	x.mayHaveRun = n > 0
+	x.writeErr = err
 	if err != nil && n == 0 {
 		return x.fail(err), true
 	}
@@ -122,8 +127,7 @@
 		defer close(x.writeDone)
 		// A failed write does not close the connection, because an early
 		// response may be arriving. The reader detects the end of the connection.
-		_, err := x.call.Body.WriteTo(tcp)
-		x.bodyWritten = err == nil
+		_, x.writeErr = x.call.Body.WriteTo(tcp)
 	}()
 	return Result{}, false
 }
@@ -189,6 +193,9 @@
 		abort:     x.conn.close,
 		stream:    x.stream(resp),
 	})
+	if err == nil && closeDelimited && x.resetOnWrite() {
+		err = errReset
+	}
 	if err != nil {
 		return x.fail(err)
 	}
@@ -208,15 +215,27 @@
 
 // requestWritten reports whether the whole request was written.
 func (x *exchange) requestWritten() bool {
-	if x.writeDone == nil {
-		return true
+	if x.writeDone != nil {
+		select {
+		case <-x.writeDone:
+		default:
+			return false
+		}
 	}
-	select {
-	case <-x.writeDone:
-		return x.bodyWritten
-	default:
-		return false
+	return x.writeErr == nil
+}
+
+// resetOnWrite reports whether the write of the request failed because the upstream reset
+// the connection. It ends a write that is in progress. The system reports a reset only
+// once, and later reads return EOF, so that the end of a response without a length cannot
+// be told from a reset that the write has met. A write that fails with EPIPE does not
+// count: the upstream had ended its response before.
+func (x *exchange) resetOnWrite() bool {
+	if x.writeDone != nil {
+		_ = x.conn.tcp.SetWriteDeadline(time.Now()) // fails only if the connection is closed; the write then ends too
+		<-x.writeDone
 	}
+	return errors.Is(x.writeErr, syscall.ECONNRESET)
 }
 
 // waitWritten waits for the concurrent write, because the caller may reuse the
