agateanswer: heads that no upstream can mean end the attempt at once

What callers saw: an answer with the status 000 made a request wait until its deadline, as its body was awaited like the next response; if a whole response stood behind it, the caller got that one as the answer. Statuses from 600 on were passed on. A head with a field whose name holds a blank was passed on as a success; "Content-Length : 5" and "Transfer-Encoding : chunked" were overlooked, so that the caller got a body that was not the upstream's. Names with a control byte were refused already, as was 000 with a closed connection.

Cause: the pool left the check of a head to http.ReadResponse, which takes any three characters that are a number for a status, and keeps names with blanks; the pool took each status below 200 for an interim response. Bytes that cannot become a head, but have no line end, were awaited until the deadline.

Change: internal/agateanswer checks the head byte by byte as it arrives, in the Read of the connection, for both kinds of entry host, streamed responses, second copies, isolated requests (probes) and forwarded requests. The version is HTTP/1.x, the status 100 to 599, names are tokens, values and reason have no control bytes, lines are not continued, a length and an encoding do not stand together, and HTTP/1.0 has no encoding. Names of trailers are checked too. The first byte against it ends the attempt as broken (the request may have run; a refusal in such a head proves nothing) and closes the connection.

--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"agategate/internal/agateanswer"
 )
 
 const readBufferBytes = 4 << 10
@@ -32,6 +34,8 @@
 	keepAlive time.Duration
 	// bytesLeft is the number of bytes that may still be read.
 	bytesLeft int64
+	// head checks the head of the response that is being read.
+	head agateanswer.Head
 	// echoesID is set once a response had the id of its request.
 	echoesID bool
 	// refused holds the requests that were refused last. A request with the same id as
@@ -62,8 +66,11 @@
 }
 
 // Read reads from the socket within the time and size limits of the current
-// exchange.
+// exchange, and checks the head of the response while it arrives.
 func (c *conn) Read(b []byte) (int, error) {
+	if err := c.head.Err(); err != nil {
+		return 0, err
+	}
 	if c.bytesLeft <= 0 {
 		return 0, errHeaderSize
 	}
@@ -81,6 +88,9 @@
 	if err != nil && !isTimeout(err) && !c.isClosed() {
 		c.peerClosed = true
 	}
+	if n, headErr := c.head.Check(b[:n]); headErr != nil {
+		return n, headErr
+	}
 	return n, err
 }
 
--- a/io/agateupstream/exchange.go
+++ b/io/agateupstream/exchange.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"agategate/internal/agateanswer"
 	"agategate/internal/agatebuffer"
 )
 
@@ -69,6 +70,7 @@
 		c.readIdleTimeout = 0
 	}
 	c.bytesLeft = x.cfg.MaxHeaderBytes + readBufferBytes
+	c.head = agateanswer.Head{}
 	if r, done := x.write(); done {
 		return r
 	}
@@ -193,6 +195,9 @@
 		abort:     x.conn.close,
 		stream:    x.stream(resp),
 	})
+	if err == nil {
+		err = agateanswer.CheckTrailer(resp.Trailer)
+	}
 	if err == nil && closeDelimited && x.resetOnWrite() {
 		err = errReset
 	}
--- a/io/agateupstream/pool_test.go
+++ b/io/agateupstream/pool_test.go
@@ -20,8 +20,8 @@
 )
 
 // Guards against returning incomplete, misframed or unrelated bytes as a response,
-// and against reuse of a connection in an unknown state. testdata/answers.txt
-// lists the responses and the expected results.
+// against an attempt that waits after such bytes, and against reuse of a connection in an
+// unknown state. testdata/answers.txt lists the responses and the expected results.
 func TestAnswers(t *testing.T) {
 	data, err := os.ReadFile("testdata/answers.txt")
 	assert.NilError(t, err)
@@ -58,6 +58,7 @@
 	assert.Equal(t, (r.Err == nil), (r.Kind == Answered || r.Kind == Shed))
 	assert.Equal(t, s.runs.Load(), int64(1))
 	assert.Assert(t, !r.UpstreamDied)
+	assert.Assert(t, r.Elapsed < time.Until(call.Deadline), "the attempt must end with the response, not by the deadline")
 	first := s.conns.Load()
 	call.Header = http.Header{"Agate-Request": {"next"}}
 	p.Do(t.Context(), call)
--- a/test/faulty_test.go
+++ b/test/faulty_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"agategate/io/agatedemo"
 )
@@ -146,6 +147,87 @@
 	assert.Assert(t, cut.Load() > 8, "only %d requests reached the upstream", cut.Load())
 }
 
+// malformedHeads are the beginnings of responses that no upstream can mean. The first one
+// refuses the request, which has run.
+var malformedHeads = []string{
+	"HTTP/1.1 000 Busy\r\nAgate-Shed: before-execution\r\n",
+	"HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\n",
+	"HTTP/1.1 999 Trouble\r\n",
+	"HTTP/1.1 200 OK\r\nX Note: 1\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length : 1\r\n",
+	"HTTP/1.1 200 OK\r\nX-\x01Note: 1\r\n",
+}
+
+// Guards against a response with a malformed head that the caller gets, that makes the
+// caller wait until the deadline, or that counts as a statement that the request has not
+// run. The upstream keeps the connection until the host closes it.
+func TestEntryMalformedHead(t *testing.T) {
+	for n, head := range malformedHeads {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			var open atomic.Int64
+			s, u, replace := startFaultySystem(t, func(u *faultyUpstream, c net.Conn, br *bufio.Reader) {
+				open.Add(1)
+				defer open.Add(-1)
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				u.run(r)
+				_, _ = io.WriteString(c, head+strings.TrimPrefix(wholeAnswer(r), "HTTP/1.1 200 OK\r\n")) // the test checks the reply
+				_, _ = io.Copy(io.Discard, br)                                                           // until the host closes the connection
+			})
+			replace()
+			for _, r := range []agatedemo.Request{
+				{Service: "quotes", Path: "/quotes/1"},
+				{Service: "labels", Method: http.MethodPost, Path: "/labels", Key: "key", Body: "parcel"},
+			} {
+				got, err := s.Call(t.Context(), 0, r)
+				assert.NilError(t, err)
+				assert.Assert(t, got.Status >= 400 && got.Outcome != "not-run", "%s: %d %s %q", r.Service, got.Status, got.Outcome, got.Body)
+			}
+			assert.Equal(t, u.numRuns("key"), 1)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if n := open.Load(); n > 0 {
+					return poll.Continue("%d connections are open", n)
+				}
+				return poll.Success()
+			})
+		})
+	}
+}
+
+// Guards against a response without a length that the caller gets as a complete one,
+// although the upstream reset the connection while the request was being written to it.
+func TestEntryResetDuringUpload(t *testing.T) {
+	const (
+		stall           = 20 * time.Millisecond
+		readBufferBytes = 4 << 10
+	)
+	s, _, replace := startFaultySystem(t, func(_ *faultyUpstream, c net.Conn, br *bufio.Reader) {
+		_ = c.(*net.TCPConn).SetReadBuffer(readBufferBytes) // without it, fewer sizes block
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAgate-Request: %s\r\n\r\na part", r.Header.Get("Agate-Request"))
+		time.Sleep(stall)                 // until the request cannot be written any further
+		_ = c.(*net.TCPConn).SetLinger(0) // the close then resets
+	})
+	replace()
+	for n, size := range []int{100, 64 << 10, 256 << 10, 1 << 20} {
+		for _, r := range []agatedemo.Request{
+			{Service: "quotes", Path: fmt.Sprint("/quotes/", n)},
+			{Service: "labels", Method: http.MethodPost, Path: "/labels", Key: fmt.Sprint("key-", n)},
+		} {
+			r.Body = strings.Repeat("x", size)
+			got, err := s.Call(t.Context(), 0, r)
+			assert.NilError(t, err)
+			assert.Assert(t, got.Status >= 400 && got.Outcome != "not-run", "%s: %d %s %q", r.Service, got.Status, got.Outcome, got.Body)
+		}
+	}
+}
+
 // Guards against requests that come late in a planned stop, are passed on, and are cut off
 // without an answer at its end, because the upstream takes longer than the host has.
 func TestEntryStopAnswersLateRequests(t *testing.T) {
