agateops, agatecontrol: commands take only replies that are whole and can be sent

What callers saw: an operator's apply was reported as done after a reply with the status 000, with a field name that holds a blank, without a length, or without a length and reset while the document was still being written. show and plan printed the part of a document that had arrived before its connection ended, or its first 16 MiB, as the whole. A change that must not be sent twice was reported as not run after a "999" that said so. explain listed decisions from such answers.

Cause: as in the pool, the client left the check of replies to net/http, which also takes the end of a connection for the end of a body; the limit of a reply cut it off without an error, and a reply that is no JSON had no outcome.

Change: agateanswer.Transport checks heads as they arrive and refuses replies whose end is that of their connection, which no control host sends. A change with such a reply, a reply beyond the limit or one that cannot be decoded is unknown (exit code 4, sent again under its change id where it has one), a read is not run and goes on to the next host.

The demo's own clients still use net/http as it is.

--- a/io/agatecontrol/explain.go
+++ b/io/agatecontrol/explain.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"agategate/internal/agateanswer"
 	"agategate/io/agatelog"
 	"agategate/io/agateops"
 	"agategate/io/agatewire"
@@ -64,6 +65,9 @@
 	return out
 }
 
+// explainClient queries entry hosts over their operators' interface.
+var explainClient = &http.Client{Transport: agateanswer.NewTransport(agateanswer.TransportConfig{})}
+
 // fetchDecisions queries an entry host that uses a routing plan, over its
 // operators' interface.
 func fetchDecisions(ctx context.Context, admin netip.AddrPort, request string) ([]agatelog.Decision, error) {
@@ -73,8 +77,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("agatecontrol: explain: %w", err)
 	}
-	req.Close = true // queries are too rare to keep connections open
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := explainClient.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("agatecontrol: explain: %w", err)
 	}
@@ -85,10 +88,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("agatecontrol: explain: %s from %s", resp.Status, admin)
 	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, explainMaxBytes))
+	if err != nil {
+		return nil, fmt.Errorf("agatecontrol: explain: %w", err)
+	}
 	var body struct {
 		Decisions []agatelog.Decision `json:"decisions"`
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, explainMaxBytes)).Decode(&body); err != nil {
+	if err := json.Unmarshal(text, &body); err != nil {
 		return nil, fmt.Errorf("agatecontrol: explain: %w", err)
 	}
 	return body.Decisions, nil
--- a/io/agateops/calls.go
+++ b/io/agateops/calls.go
@@ -145,7 +145,7 @@
 		return err
 	}
 	if err := json.Unmarshal(a.body, dst); err != nil {
-		return fmt.Errorf("agateops: reply: %w", err)
+		return transportError(fmt.Errorf("reply: %w", err), r.write)
 	}
 	return nil
 }
--- a/io/agateops/client.go
+++ b/io/agateops/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"agategate/core/agateinventory"
+	"agategate/internal/agateanswer"
 )
 
 // Defaults and limits of a Client.
@@ -95,7 +96,7 @@
 	}
 	c.http = &http.Client{
 		Timeout:       cfg.RequestTimeout,
-		Transport:     &http.Transport{TLSClientConfig: cfg.TLS, DisableKeepAlives: true},
+		Transport:     agateanswer.NewTransport(agateanswer.TransportConfig{TLS: cfg.TLS}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c, nil
@@ -250,7 +251,10 @@
 		return nil, transportError(err, r.write && gotConn.Load())
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = fmt.Errorf("reply of %s is larger than %d bytes", host, maxReplyBytes)
+	}
 	if err != nil {
 		return nil, transportError(err, r.write)
 	}
