agateupstream: heads of responses are charged while they arrive

What callers saw, from the report of another operator: a faulty upstream sends bytes without end in a head or a body until its caller closes; the process that called it runs out of memory, and everybody's requests end with it.

Cause: the account was charged for heads of requests and for bodies, but not for heads of responses, whose fields take more memory than their text; and each connection holds one.

Change: the head of a response is charged as it arrives, twice its text and 128 bytes for each field, and stays charged with its request. It waits for room and gives way as a body does; an attempt that gives way may have run. The counts come from agateanswer.Head.

TestHeadIsCharged fails on the code before.

--- a/internal/agateanswer/head.go
+++ b/internal/agateanswer/head.go
@@ -7,9 +7,6 @@
 //
 // The reader of a connection passes each part that it reads to a Head:
 //
-//	if err := head.Err(); err != nil {
-//		return 0, err
-//	}
 //	n, err := conn.Read(b)
 //	if n, headErr := head.Check(b[:n]); headErr != nil {
 //		return n, headErr // close the connection; the request may have run
@@ -92,24 +89,29 @@
 	encoded bool // there is a Transfer-Encoding
 	// name is the beginning of the name of the current field, in lower case.
 	name [len(nameEncoding)]byte
-	err  error
+	// size and fields count over all heads.
+	size   int64
+	fields int64
 }
 
-// Err returns the error of an earlier Check.
-func (h *Head) Err() error { return h.err }
+// Size returns the number of bytes that belong to heads.
+func (h *Head) Size() int64 { return h.size }
+
+// Fields returns the number of fields, also of those that are still arriving.
+func (h *Head) Fields() int64 { return h.fields }
 
 // Check checks the next bytes that arrive. If a response cannot have one of them, it
-// returns the number of those before it and an error that wraps ErrMalformed. Bytes behind
-// the head of the final response are not checked.
+// returns the number of those before it and an error that wraps ErrMalformed, and must not
+// be called again. Bytes behind the head of the final response are not checked.
 func (h *Head) Check(b []byte) (int, error) {
 	for i, c := range b {
 		if h.state == complete {
 			break
 		}
 		if !h.next(c) {
-			h.err = fmt.Errorf("%w: byte %#02x in its head", ErrMalformed, c)
-			return i, h.err
+			return i, fmt.Errorf("%w: byte %#02x in its head", ErrMalformed, c)
 		}
+		h.size++
 	}
 	return len(b), nil
 }
@@ -195,6 +197,7 @@
 	case ':':
 		return false
 	}
+	h.fields++
 	h.enter(inName)
 	return h.nextOfName(c)
 }
@@ -224,7 +227,7 @@
 	if h.status >= http.StatusOK || h.status == http.StatusSwitchingProtocols {
 		return h.enter(complete)
 	}
-	*h = Head{}
+	*h = Head{size: h.size, fields: h.fields}
 	return true
 }
 
--- a/internal/agateanswer/head_test.go
+++ b/internal/agateanswer/head_test.go
@@ -88,8 +88,8 @@
 		size := rapid.IntRange(1, len(raw)-n).Draw(t, "size")
 		k, err := head.Check(raw[n : n+size])
 		n += k
+		assert.Assert(t, head.Size() <= int64(n))
 		if err != nil {
-			assert.Equal(t, head.Err(), err)
 			return n, err
 		}
 	}
--- a/internal/agateanswer/transport.go
+++ b/internal/agateanswer/transport.go
@@ -57,7 +57,8 @@
 // checkedConn is a connection for one request that checks the head of its response.
 type checkedConn struct {
 	net.Conn
-	head Head
+	head    Head
+	headErr error
 }
 
 func checked(c net.Conn, err error) (net.Conn, error) {
@@ -69,12 +70,12 @@
 
 // Read implements net.Conn.
 func (c *checkedConn) Read(b []byte) (int, error) {
-	if err := c.head.Err(); err != nil {
-		return 0, err
+	if c.headErr != nil {
+		return 0, c.headErr // parsers may read again after an error
 	}
 	n, err := c.Conn.Read(b)
-	if n, headErr := c.head.Check(b[:n]); headErr != nil {
-		return n, headErr
+	if n, c.headErr = c.head.Check(b[:n]); c.headErr != nil {
+		return n, c.headErr
 	}
 	return n, err
 }
--- a/io/agateupstream/bodies_test.go
+++ b/io/agateupstream/bodies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -192,3 +193,41 @@
 		assert.Equal(t, p.Do(t.Context(), call).Kind, kind, path)
 	}
 }
+
+// Guards against heads of responses that are held without being charged to the account,
+// and that stay charged after they were given up.
+func TestHeadIsCharged(t *testing.T) {
+	const accountBytes = 256 << 10
+	fields := strings.Repeat("a:\r\n", 4000)
+	s := startUpstream(t, func(w net.Conn, r *http.Request) bool {
+		head := "HTTP/1.1 200 OK\r\n"
+		if r.URL.Path == "/interim" {
+			head = "HTTP/1.1 103 Early Hints\r\n"
+		}
+		if r.URL.Path != "/small" {
+			head += fields
+		}
+		io.WriteString(w, head+"Content-Length: 0\r\n\r\n")
+		return true
+	})
+	account := agatebuffer.New(agatebuffer.Config{Bytes: accountBytes, Holders: 16})
+	p := newPool(t, Config{Account: account})
+	for _, path := range []string{"/small", "/large", "/interim", "/small"} {
+		want := Answered
+		if path != "/small" {
+			want = TooLarge
+		}
+		r := p.Do(t.Context(), get(s.addr, path))
+		assert.Equal(t, r.Kind, want, "%s: %v", path, r.Err)
+		assert.Equal(t, r.Err == nil || errors.Is(r.Err, agatebuffer.ErrFull), true, "%v", r.Err)
+		held, _ := account.Usage()
+		assert.Equal(t, held, int64(0), path)
+	}
+	charge := account.Open().Begin()
+	call := get(s.addr, "/small")
+	call.Charge = charge
+	assert.Equal(t, p.Do(t.Context(), call).Kind, Answered)
+	held, _ := account.Usage()
+	assert.Assert(t, held > agatebuffer.FieldBytes, "a head is charged until the request ends")
+	charge.End()
+}
--- a/io/agateupstream/conn.go
+++ b/io/agateupstream/conn.go
@@ -34,8 +34,11 @@
 	keepAlive time.Duration
 	// bytesLeft is the number of bytes that may still be read.
 	bytesLeft int64
-	// head checks the head of the response that is being read.
-	head agateanswer.Head
+	// head checks the head of the response that is being read. chargeHead, if not nil, is
+	// called when more of it has arrived. headErr is the error of either.
+	head       agateanswer.Head
+	chargeHead func() error
+	headErr    error
 	// echoesID is set once a response had the id of its request.
 	echoesID bool
 	// refused holds the requests that were refused last. A request with the same id as
@@ -68,8 +71,8 @@
 // Read reads from the socket within the time and size limits of the current
 // exchange, and checks the head of the response while it arrives.
 func (c *conn) Read(b []byte) (int, error) {
-	if err := c.head.Err(); err != nil {
-		return 0, err
+	if c.headErr != nil {
+		return 0, c.headErr // parsers may read again after an error
 	}
 	if c.bytesLeft <= 0 {
 		return 0, errHeaderSize
@@ -88,8 +91,17 @@
 	if err != nil && !isTimeout(err) && !c.isClosed() {
 		c.peerClosed = true
 	}
-	if n, headErr := c.head.Check(b[:n]); headErr != nil {
-		return n, headErr
+	if n, c.headErr = c.checkHead(b[:n]); c.headErr != nil {
+		return n, c.headErr
+	}
+	return n, err
+}
+
+// checkHead checks and charges for what has arrived of the head of a response.
+func (c *conn) checkHead(b []byte) (int, error) {
+	n, err := c.head.Check(b)
+	if err == nil && c.chargeHead != nil {
+		err = c.chargeHead()
 	}
 	return n, err
 }
--- a/io/agateupstream/exchange.go
+++ b/io/agateupstream/exchange.go
@@ -134,9 +134,36 @@
 	return Result{}, false
 }
 
-// readHead reads the status line and header of the final response and skips
-// interim responses.
+// headTextCopies is how often the text of a head is in memory: in the line that is being
+// read, and in the fields.
+const headTextCopies = 2
+
+// readHead reads the status line and header of the final response. It charges for them
+// while they arrive, and reads no faster than the account has room.
 func (x *exchange) readHead() (*http.Response, error) {
+	c := x.conn
+	arrival := x.call.Charge.ReceiveResponse(c.close)
+	charged := int64(0)
+	c.chargeHead = func() error {
+		n := headTextCopies*c.head.Size() + agatebuffer.FieldBytes*c.head.Fields() - charged
+		charged += n
+		return arrival.GrowResponse(x.ctx, c.deadline, n)
+	}
+	resp, err := x.readResponse()
+	c.chargeHead = nil
+	if err != nil {
+		if arrival.GaveWay() {
+			err = agatebuffer.ErrFull
+		}
+		arrival.Drop()
+		return nil, err
+	}
+	arrival.Keep()
+	return resp, nil
+}
+
+// readResponse reads the head of the final response and skips interim responses.
+func (x *exchange) readResponse() (*http.Response, error) {
 	req := &http.Request{Method: x.call.Method}
 	for range maxResponses {
 		resp, err := http.ReadResponse(x.conn.buf, req)
