agatestore: failed syncs, rollbacks and renames are tried again

Cause: after a failed sync, rollback or second rename the store refused all writes until its process started again. The replica tried again for ever, in vain; three disks in turn left no majority that could write.

Change: the store undoes what has failed, at once or before the next write, and writes all of its bytes again, since the system may take bytes whose sync failed for synced. Open writes the last record once more, for the same reason, unless there is no room for it.

Evidence: TestDisksFullInTurn passes in all rows, with all changes there after a restart.

TestFullDiskAndFailedSync asserted that the store stays disabled after a failed sync or rollback, which was the fault. TestFullDisk keeps the rest of it; TestRecoveryFromFailedWrites asserts that the same failures, and a rename, end with the next successful write and lose nothing in a crash.

--- a/io/agatereplica/group_test.go
+++ b/io/agatereplica/group_test.go
@@ -121,6 +121,8 @@
 	fsync    time.Duration
 	// hold blocks the drivers of all replicas while it has an item.
 	hold chan struct{}
+	// openStore, if set, opens the store of a replica in place of a memStore.
+	openStore func(id uint64, cfg *agatereplica.Config)
 }
 
 func newGroup(t testing.TB, n int, cfg agatereplica.Config) *group {
@@ -160,6 +162,9 @@
 		}
 		cfg.Apply, cfg.Snapshot, cfg.Restore = m.apply, m.snapshot, m.restore
 		cfg.Append, cfg.SaveSnapshot = st.Append, st.SaveSnapshot
+		if g.openStore != nil {
+			g.openStore(id, &cfg)
+		}
 		cfg.Send = func(to uint64, msg agatequorum.Message) { g.send(id, to, msg) }
 		r, err := agatereplica.Open(cfg)
 		assert.NilError(g.t, err)
--- a/io/agatestore/load.go
+++ b/io/agatestore/load.go
@@ -1,6 +1,7 @@
 package agatestore
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -22,6 +23,8 @@
 	// deleted.
 	entries   []agatequorum.Entry
 	lastIndex uint64
+	// lastFrame is the offset of the last frame of the log in its segment.
+	lastFrame int64
 	// hasState reports whether any state has been stored in the directory.
 	hasState bool
 }
@@ -70,7 +73,7 @@
 	if err != nil {
 		return State{}, err
 	}
-	if err := s.renameTemp(logName(1)); err != nil {
+	if _, err := s.renameTemp(logName(1)); err != nil {
 		f.Close()
 		return State{}, err
 	}
@@ -214,7 +217,7 @@
 		if err := l.applyRecord(k, body, off == 0, &seg); err != nil {
 			return corruptError(name, off, "%v", err)
 		}
-		off = end
+		l.lastFrame, off = off, end
 	}
 	if off == 0 {
 		return corruptError(name, 0, "segment has no header record")
@@ -328,7 +331,7 @@
 		return fmt.Errorf("agatestore: %w", err)
 	}
 	s.active = f
-	if err := s.truncateAndSync(); err != nil {
+	if err := s.truncateAndSync(l); err != nil {
 		return err
 	}
 	for _, name := range l.obsolete {
@@ -340,8 +343,10 @@
 
 // truncateAndSync removes everything after the last complete frame and syncs
 // the rest: a process that was killed may have left complete writes that a
-// power failure could still undo.
-func (s *Store) truncateAndSync() error {
+// power failure could still undo. If the sync of the last frame has failed, the
+// system may take it for synced, so it is written once more. A disk without room
+// for that does not keep the process from starting.
+func (s *Store) truncateAndSync(l *loader) error {
 	name := logName(s.segments[len(s.segments)-1].number)
 	info, err := s.active.Stat()
 	if err != nil {
@@ -352,6 +357,16 @@
 			return opError("cut", name, err)
 		}
 	}
+	frame := make([]byte, s.activeSize-l.lastFrame)
+	if _, err := s.active.ReadAt(frame, l.lastFrame); err != nil {
+		return fmt.Errorf("agatestore: %w", err)
+	}
+	if _, err := s.ops.Write(s.active, frame, l.lastFrame); err != nil {
+		if err = opError("write", name, err); !errors.Is(err, ErrNoSpace) {
+			return err
+		}
+		s.logger.Warn("could not write the end of the log once more", "error", err)
+	}
 	if err := s.ops.Sync(s.active); err != nil {
 		return opError("sync", name, err)
 	}
--- a/io/agatestore/snapshot.go
+++ b/io/agatestore/snapshot.go
@@ -21,10 +21,14 @@
 // SaveSnapshot makes a snapshot durable, starts a new segment and discards
 // what the snapshot replaces: the log up to its index, or the whole log if
 // it ends before the index or has a different term there. A snapshot that is
-// not newer than the stored one is ignored. Errors are those of Append.
+// not newer than the stored one is ignored. Errors are those of Append. If it
+// fails half-way, other writes return ErrUnfinished until it succeeds.
 func (s *Store) SaveSnapshot(sn agatequorum.Snapshot) error {
-	if s.writeErr != nil {
-		return s.writeErr
+	if s.closed {
+		return ErrClosed
+	}
+	if s.unfinished > 0 && s.unfinished != sn.Index {
+		return fmt.Errorf("%w: snapshot %d", ErrUnfinished, s.unfinished)
 	}
 	if sn.Index <= s.snapshotIndex {
 		return nil
@@ -48,10 +52,17 @@
 		s.remove(name + tempSuffix)
 		return err
 	}
-	if err := s.renameTemp(logName(number), name); err != nil {
+	// A crash between the renames leaves a segment that the next Open deletes. An
+	// Append before the second rename would contradict the header of that segment.
+	renamed, err := s.renameTemp(logName(number), name)
+	if renamed {
+		s.unfinished = sn.Index
+	}
+	if err != nil {
 		file.Close()
 		return err
 	}
+	s.unfinished = 0
 	s.terms = terms
 	s.snapshotIndex = sn.Index
 	s.setActiveSegment(number, file, size)
@@ -59,22 +70,24 @@
 	return nil
 }
 
-// writeTemp writes and syncs a temporary file and returns it open. If the
-// write fails, the file is removed.
+// writeTemp writes and syncs a temporary file and returns it open. If that
+// fails, the file is removed.
 func (s *Store) writeTemp(name string, data []byte) (*os.File, error) {
 	temp := s.path(name + tempSuffix)
 	f, err := os.OpenFile(temp, os.O_CREATE|os.O_RDWR|os.O_TRUNC, 0o600)
 	if err != nil {
 		return nil, opError("create", name, err)
 	}
-	if _, err := s.ops.Write(f, data, 0); err != nil {
-		f.Close()
-		s.remove(name + tempSuffix)
-		return nil, opError("write", name, err)
+	op := "write"
+	_, err = s.ops.Write(f, data, 0)
+	if err == nil {
+		op = "sync"
+		err = s.ops.Sync(f)
 	}
-	if err := s.ops.Sync(f); err != nil {
+	if err != nil {
 		f.Close()
-		return nil, s.disableWrites("sync", name, err)
+		s.remove(name + tempSuffix)
+		return nil, opError(op, name, err)
 	}
 	return f, nil
 }
@@ -99,21 +112,18 @@
 }
 
 // renameTemp renames temporary files to their final names in order and syncs
-// the directory after each. If the first rename fails, nothing has changed.
-func (s *Store) renameTemp(names ...string) error {
-	for i, name := range names {
-		err := s.ops.Rename(s.path(name+tempSuffix), s.path(name))
-		if err != nil && i == 0 {
-			return opError("rename", name, err)
-		}
-		if err != nil {
-			return s.disableWrites("rename", name, err)
+// the directory after each. renamed reports whether one was renamed.
+func (s *Store) renameTemp(names ...string) (renamed bool, err error) {
+	for _, name := range names {
+		if err := s.ops.Rename(s.path(name+tempSuffix), s.path(name)); err != nil {
+			return renamed, opError("rename", name, err)
 		}
+		renamed = true
 		if err := s.ops.SyncDir(s.cfg.Dir); err != nil {
-			return s.disableWrites("sync", s.cfg.Dir, err)
+			return renamed, opError("sync", s.cfg.Dir, err)
 		}
 	}
-	return nil
+	return renamed, nil
 }
 
 func (s *Store) setActiveSegment(number uint64, f *os.File, size int64) {
