agateupstream: a response that a timeout ends during an upload is incomplete

When the TCP user timeout passes (2 s), the part of a response without a length that has arrived is taken for a complete one.

The system reports the timeout only once; the blocked write met it, and the read got EOF. The check asked for a reset only.

Change: any error that the write has met makes such a response incomplete, but EPIPE, before which the upstream had ended the response, and the deadline that ends a blocked write here.

Evidence: the rows "stalls" of testdata/uploads.txt get 200 "a part of the body" at the first request on the code before. Rows for an upstream that ends its response and resets the connection then were passed before, and are. TestResetDuringUpload is TestBrokenUpload now. Three runs with -race pass.

--- a/io/agateupstream/exchange.go
+++ b/io/agateupstream/exchange.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -27,7 +28,6 @@
 var (
 	errNoLength = errors.New("agateupstream: response has neither Content-Length nor chunked encoding")
 	errBodySize = errors.New("agateupstream: response body too large")
-	errReset    = errors.New("agateupstream: connection reset before the end of the response")
 )
 
 // exchange is one request and its response on one connection.
@@ -225,8 +225,8 @@
 	if err == nil {
 		err = agateanswer.CheckTrailer(resp.Trailer)
 	}
-	if err == nil && closeDelimited && x.resetOnWrite() {
-		err = errReset
+	if err == nil && closeDelimited {
+		err = x.writeFailure()
 	}
 	if err != nil {
 		return x.fail(err)
@@ -257,17 +257,22 @@
 	return x.writeErr == nil
 }
 
-// resetOnWrite reports whether the write of the request failed because the upstream reset
-// the connection. It ends a write that is in progress. The system reports a reset only
-// once, and later reads return EOF, so that the end of a response without a length cannot
-// be told from a reset that the write has met. A write that fails with EPIPE does not
-// count: the upstream had ended its response before.
-func (x *exchange) resetOnWrite() bool {
+// writeFailure returns the error with which the connection broke while the request was
+// being written, or nil. It ends a write that is in progress. The system reports such an
+// error, a reset or a timeout, only once, and later reads return EOF, so that the end of a
+// response without a length cannot be told from an error that the write has met.
+func (x *exchange) writeFailure() error {
 	if x.writeDone != nil {
 		_ = x.conn.tcp.SetWriteDeadline(time.Now()) // fails only if the connection is closed; the write then ends too
 		<-x.writeDone
 	}
-	return errors.Is(x.writeErr, syscall.ECONNRESET)
+	switch {
+	case errors.Is(x.writeErr, os.ErrDeadlineExceeded):
+		return nil // the write was ended here
+	case errors.Is(x.writeErr, syscall.EPIPE):
+		return nil // the upstream had ended its response before it reset the connection
+	}
+	return x.writeErr
 }
 
 // waitWritten waits for the concurrent write, because the caller may reuse the
--- a/io/agateupstream/upload_test.go
+++ b/io/agateupstream/upload_test.go
@@ -24,10 +24,13 @@
 // blocked.
 const writeStallTime = 20 * time.Millisecond
 
-// Guards against a response without a length that is reset while the request is still
-// being written, and is taken for complete. testdata/uploads.txt lists the requests and
-// how their connections end.
-func TestResetDuringUpload(t *testing.T) {
+// uploadUserTimeout is the TCP user timeout of the requests.
+const uploadUserTimeout = 100 * time.Millisecond
+
+// Guards against a response without a length that is taken for complete, although its
+// connection broke while the request was still being written. testdata/uploads.txt lists
+// the requests and how their connections end.
+func TestBrokenUpload(t *testing.T) {
 	runRows(t, "testdata/uploads.txt", func(t *testing.T, f []string) {
 		size, err := strconv.Atoi(f[1])
 		assert.NilError(t, err)
@@ -37,7 +40,7 @@
 
 func testUploads(t *testing.T, size int, end, want string) {
 	addr := startEarlyUpstream(t, end)
-	p := newPool(t, Config{AllowCloseDelimited: true})
+	p := newPool(t, Config{AllowCloseDelimited: true, TCPUserTimeout: uploadUserTimeout})
 	for i := range uploadsPerRow {
 		call := get(addr, "/")
 		call.Method, call.Action, call.Body = http.MethodPost, true, agatebuffer.Of(make([]byte, size))
@@ -82,5 +85,11 @@
 	case "ends":
 		c.CloseWrite()
 		io.Copy(io.Discard, c)
+	case "ends-resets":
+		c.CloseWrite()
+		time.Sleep(writeStallTime)
+		c.SetLinger(0)
+	case "stalls":
+		time.Sleep(10 * uploadUserTimeout)
 	}
 }
