--- a/io/agateupstream/upload_test.go
+++ b/io/agateupstream/upload_test.go
@@ -24,8 +24,8 @@
 // blocked.
 const writeStallTime = 20 * time.Millisecond
 
-// uploadUserTimeout is the TCP user timeout of the requests.
-const uploadUserTimeout = 100 * time.Millisecond
+// stallUserTimeout is the TCP user timeout of requests to an upstream that stalls.
+const stallUserTimeout = 100 * time.Millisecond
 
 // Guards against a response without a length that is taken for complete, although its
 // connection broke while the request was still being written. testdata/uploads.txt lists
@@ -40,7 +40,11 @@
 
 func testUploads(t *testing.T, size int, end, want string) {
 	addr := startEarlyUpstream(t, end)
-	p := newPool(t, Config{AllowCloseDelimited: true, TCPUserTimeout: uploadUserTimeout})
+	cfg := Config{AllowCloseDelimited: true}
+	if end == "stalls" {
+		cfg.TCPUserTimeout = stallUserTimeout
+	}
+	p := newPool(t, cfg)
 	for i := range uploadsPerRow {
 		call := get(addr, "/")
 		call.Method, call.Action, call.Body = http.MethodPost, true, agatebuffer.Of(make([]byte, size))
@@ -90,6 +94,6 @@
 		time.Sleep(writeStallTime)
 		c.SetLinger(0)
 	case "stalls":
-		time.Sleep(10 * uploadUserTimeout)
+		time.Sleep(10 * stallUserTimeout)
 	}
 }
