--- a/io/agatestore/snapshot.go
+++ b/io/agatestore/snapshot.go
@@ -33,6 +33,9 @@
 	if sn.Index <= s.snapshotIndex {
 		return nil
 	}
+	if err := s.syncTail(); err != nil {
+		return err // only the last segment may end in a torn frame
+	}
 	number := s.segments[len(s.segments)-1].number + 1
 	frame, err := encodeFrame(kindSnapshot, newSnapshotRecord(s.identity, sn), number, 0)
 	if err != nil {
--- a/io/agatestore/store.go
+++ b/io/agatestore/store.go
@@ -87,8 +87,8 @@
 	segments      []segment
 	active        *os.File // last segment, which receives writes
 	activeSize    int64
-	// dirtyTail is set while the last segment may have bytes of a failed write
-	// behind activeSize.
+	// dirtyTail is set while the file of the last segment may have bytes of a
+	// failed write behind activeSize.
 	dirtyTail bool
 	// unfinished is the index of the snapshot that is saved in part, or 0.
 	unfinished uint64
@@ -198,7 +198,7 @@
 // whose sync failed must be written once more: the system may take them for
 // synced, and a later sync would not report that they are lost.
 func (s *Store) writeFrame(frame []byte) error {
-	name := logName(s.segments[len(s.segments)-1].number)
+	name := s.activeName()
 	if err := s.cutTail(); err != nil {
 		return opError("cut", name, err)
 	}
@@ -215,18 +215,32 @@
 	return nil
 }
 
-// cutTail cuts off the bytes of a failed write.
+// cutTail cuts off the bytes of a failed write. The next sync makes that durable.
 func (s *Store) cutTail() error {
 	if !s.dirtyTail {
 		return nil
 	}
-	if err := s.ops.Truncate(s.active, s.activeSize); err != nil {
-		return err
+	return s.ops.Truncate(s.active, s.activeSize)
+}
+
+// syncTail makes durable that the bytes of a failed write are cut off.
+func (s *Store) syncTail() error {
+	if !s.dirtyTail {
+		return nil
+	}
+	if err := s.cutTail(); err != nil {
+		return opError("cut", s.activeName(), err)
+	}
+	if err := s.ops.Sync(s.active); err != nil {
+		return opError("sync", s.activeName(), err)
 	}
 	s.dirtyTail = false
 	return nil
 }
 
+// activeName returns the name of the file of the last segment.
+func (s *Store) activeName() string { return logName(s.segments[len(s.segments)-1].number) }
+
 func opError(op, name string, err error) error {
 	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
 		return fmt.Errorf("%w: %s %s: %w", ErrNoSpace, op, name, err)
--- a/io/agatestore/store_test.go
+++ b/io/agatestore/store_test.go
@@ -236,7 +236,8 @@
 			"append2":  m.append, // a second key doubles the frequency of appends
 			"snapshot": m.snapshot,
 			"fail": func(t *rapid.T) {
-				m.disk.failNext = rapid.SampledFrom([]string{"write", "full", "sync", "sync-dir", "truncate", "rename"}).Draw(t, "kind")
+				kinds := rapid.SliceOfN(rapid.SampledFrom([]string{"write", "full", "sync", "sync-dir", "truncate", "rename"}), 1, 4).Draw(t, "kinds")
+				m.disk.failNext, m.disk.failLater = kinds[0], kinds[1:]
 			},
 			"crash": func(t *rapid.T) {
 				m.disk.stepsToCrash = rapid.IntRange(0, 8).Draw(t, "point")
