agatefront: the decision on a request is retained before its reply is sent

What callers saw: an operator who asks "agategate explain" for a request as soon as it is answered may be told that no entry host keeps a decision on it.

Cause: the reply was released to the connection before the decision was stored, in another goroutine.

Change: metrics, decision and log line come first. A streamed response is passed on before, as before.

--- a/io/agatefront/run.go
+++ b/io/agatefront/run.go
@@ -110,11 +110,11 @@
 	running.Add(1)
 	defer running.Add(-1)
 	r := p.reply()
+	f.finish(p, &r) // before the caller has the reply, and may ask for the decisions on it
 	if p.streamedBy.Load() == nil {
 		x.reply = r
 		close(x.done)
 	}
-	f.finish(p, &r)
 }
 
 // reply returns the reply to the request.
