agatequorum, agatereplica: the log and what is sent are bounded in bytes

Callers saw: after 190 changes of a plan of 1,600 routes, two pairs of control hosts lost their disks, the second more than catch_up_s after the first was back.

A replacement receives the state and at most twice that, whatever the history. LogBytes is a 64th of the memory or the disk that the settings name. Messages in flight to one replica are bounded to an eighth of it, uncommitted and unapplied entries to four times it, inbox and send queues to it; an entry of any size passes alone.

Safety: lost identities are still removed before their successors have a copy.

--- a/core/agatequorum/config.go
+++ b/core/agatequorum/config.go
@@ -11,6 +11,18 @@
 	DefaultMaxInFlight     = 64        // messages
 	DefaultMaxUncommitted  = 16384     // entries
 	DefaultCatchUpEntries  = 4096      // entries
+	DefaultLogBytes        = 16 << 20  // bytes
+)
+
+// Bounds on other parts of the replicated history, as multiples of Config.LogBytes.
+const (
+	// inFlightShare is the part of LogBytes that is sent to one replica without
+	// waiting for its answers. What is sent to all replicas together must pass the
+	// link within the retry time, or it is sent again while it is still on its way.
+	inFlightShare = 0.125
+	// uncommittedFactor leaves room for several large commands that operators send
+	// at the same time.
+	uncommittedFactor = 4
 )
 
 // Config configures a Core. All replicas of a group must use the same timings.
@@ -54,6 +66,15 @@
 	// memory, so that replicas that lag can catch up without a snapshot. The
 	// default is 4,096.
 	CatchUpEntries int
+	// LogBytes bounds the history that is kept beside the state, counted as the
+	// data of the entries plus 32 bytes each. A snapshot is due after LogBytes of
+	// entries, or after the size of the last snapshot if that is larger; the same
+	// amount stays in memory behind a snapshot, within CatchUpEntries. A replica
+	// without a copy therefore receives at most the state and twice that amount.
+	// Unanswered messages to one replica are limited to an eighth of LogBytes, and
+	// uncommitted entries to four times LogBytes, but one entry of any size always
+	// passes. The default is 16 MiB.
+	LogBytes int
 }
 
 func (cfg Config) withDefaults() Config {
@@ -64,9 +85,14 @@
 	setDefault(&cfg.MaxInFlight, DefaultMaxInFlight)
 	setDefault(&cfg.MaxUncommitted, DefaultMaxUncommitted)
 	setDefault(&cfg.CatchUpEntries, DefaultCatchUpEntries)
+	setDefault(&cfg.LogBytes, DefaultLogBytes)
 	return cfg
 }
 
+func (cfg *Config) maxInFlightBytes() int { return int(inFlightShare * float64(cfg.LogBytes)) }
+
+func (cfg *Config) maxUncommittedBytes() int { return uncommittedFactor * cfg.LogBytes }
+
 func setDefault[T int | time.Duration](v *T, d T) {
 	if *v <= 0 {
 		*v = d
--- a/core/agatequorum/core.go
+++ b/core/agatequorum/core.go
@@ -304,6 +304,8 @@
 	Members      Members
 	// WriteFailed is set when the last write failed.
 	WriteFailed bool
+	// LogBytes is the size of the entries that are held in memory.
+	LogBytes int
 }
 
 // Status returns the current status.
@@ -317,5 +319,29 @@
 		DurableIndex: c.log.durableIndex,
 		Members:      c.memberships.latest().members,
 		WriteFailed:  c.output.writeFailed,
+		LogBytes:     c.log.bytes,
 	}
 }
+
+// Progress tells how far a learner has caught up with the leader.
+type Progress struct {
+	ID uint64
+	// Match is the last index that the learner is known to have.
+	Match uint64
+	// Installing is set while the learner receives a snapshot.
+	Installing bool
+}
+
+// Learners returns the progress of the learners if the replica is the leader.
+func (c *Core) Learners() []Progress {
+	var out []Progress
+	for _, m := range c.memberships.latest().members {
+		if !m.Learner {
+			continue
+		}
+		if p := c.peer(m.ID); p != nil {
+			out = append(out, Progress{ID: p.id, Match: p.matchIndex, Installing: p.mode == installing})
+		}
+	}
+	return out
+}
--- a/core/agatequorum/leader.go
+++ b/core/agatequorum/leader.go
@@ -61,12 +61,22 @@
 	switch {
 	case c.fault != nil || c.role != Leader || c.leadership.transfer.to != 0:
 		return 0, NotLeader
-	case c.output.writeFailed || c.log.last()-c.commitIndex >= uint64(c.cfg.MaxUncommitted):
+	case c.output.writeFailed || c.uncommittedFull(len(data)):
 		return 0, Unavailable
 	}
 	return c.appendEntry(KindCommand, data), Accepted
 }
 
+// uncommittedFull reports whether a command of n bytes exceeds the limits on
+// uncommitted entries. A command of any size is accepted if no other one waits.
+func (c *Core) uncommittedFull(n int) bool {
+	waiting := c.log.last() - c.commitIndex
+	if waiting >= uint64(c.cfg.MaxUncommitted) {
+		return true
+	}
+	return waiting > 0 && c.log.bytesAfter(c.commitIndex)+n > c.cfg.maxUncommittedBytes()
+}
+
 // committedInTerm reports whether the leader has committed an entry of its term.
 // Before that, the leader does not know which older entries are committed.
 func (c *Core) committedInTerm() bool {
--- a/core/agatequorum/log.go
+++ b/core/agatequorum/log.go
@@ -4,6 +4,15 @@
 // data.
 const entryOverhead = 32
 
+// EntryBytes returns the size at which entries count against Config.LogBytes.
+func EntryBytes(entries ...Entry) int {
+	n := 0
+	for _, e := range entries {
+		n += len(e.Data) + entryOverhead
+	}
+	return n
+}
+
 // log is the part of the replicated log that is held in memory. The entry at
 // index i is entries[i-base-1].
 type log struct {
@@ -15,6 +24,8 @@
 	durableIndex uint64
 	// submittedIndex is the last index included in a write, durable or not.
 	submittedIndex uint64
+	// bytes is the size of entries.
+	bytes int
 }
 
 func (l *log) last() uint64 { return l.base + uint64(len(l.entries)) }
@@ -58,7 +69,7 @@
 	}
 	size := 0
 	for i, e := range rest {
-		size += len(e.Data) + entryOverhead
+		size += EntryBytes(e)
 		if i > 0 && size > limit {
 			return rest[:i:i]
 		}
@@ -74,12 +85,32 @@
 	return l.entries[from-l.base-1 : to-l.base : to-l.base]
 }
 
-func (l *log) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+func (l *log) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+	l.bytes += EntryBytes(entries...)
+}
+
+// bytesAfter returns the size of the entries after index, which must not be below
+// the base.
+func (l *log) bytesAfter(index uint64) int { return EntryBytes(l.entries[index-l.base:]...) }
+
+// retained returns the index up to which the log can be compacted after a snapshot
+// at index. At most the given number of entries stay before it, and no more than it
+// takes to reach size bytes. These include the entries since the previous snapshot, so
+// that a replica that has just received that one continues from the log.
+func (l *log) retained(index uint64, entries, size int) uint64 {
+	for kept := 0; index > l.base && kept < entries && size > 0; kept++ {
+		size -= EntryBytes(l.entries[index-l.base-1])
+		index--
+	}
+	return index
+}
 
 // truncate removes the entries from index on. It also reduces the capacity, so
 // that a later append does not overwrite slices returned earlier.
 func (l *log) truncate(index uint64) {
 	n := index - l.base - 1
+	l.bytes -= EntryBytes(l.entries[n:]...)
 	l.entries = l.entries[:n:n]
 	l.durableIndex = min(l.durableIndex, index-1)
 	l.submittedIndex = min(l.submittedIndex, index-1)
@@ -92,6 +123,7 @@
 	}
 	term, _ := l.term(index)
 	kept := l.entries[index-l.base:]
+	l.bytes = EntryBytes(kept...)
 	// The copy has spare capacity for 64 entries.
 	l.entries = append(make([]Entry, 0, len(kept)+64), kept...)
 	l.base = index
--- a/core/agatequorum/peer.go
+++ b/core/agatequorum/peer.go
@@ -31,8 +31,10 @@
 	// nextIndex is the next index to send.
 	matchIndex uint64
 	nextIndex  uint64
-	// inFlight holds the last index of each unacknowledged append message.
-	inFlight []uint64
+	// inFlight holds the unacknowledged append messages, inFlightBytes the size of
+	// their entries.
+	inFlight      []sentAppend
+	inFlightBytes int
 	// awaitingReply is set while a probe is unanswered.
 	awaitingReply bool
 	// retryTimerStart is the time from which the retry interval counts: the last
@@ -50,10 +52,19 @@
 	// before it can be promoted.
 	catchUpIndex uint64
 	catchUpSetAt time.Duration
-	// snapshot is sent in mode installing. offset is the start of the current
-	// chunk.
-	snapshot *Snapshot
-	offset   uint64
+	// snapshot is sent in mode installing. The replica has the data before offset;
+	// the data before nextOffset is sent. chunkResentAt is the time at which the chunk
+	// at offset was last sent once more, or never.
+	snapshot      *Snapshot
+	offset        uint64
+	nextOffset    uint64
+	chunkResentAt time.Duration
+}
+
+// sentAppend is an append message that is not acknowledged yet.
+type sentAppend struct {
+	lastIndex uint64
+	bytes     int // of its entries
 }
 
 func (c *Core) peer(id uint64) *peer {
@@ -98,7 +109,8 @@
 	case probing:
 		return !p.awaitingReply
 	case streaming:
-		return p.nextIndex <= c.log.last() && len(p.inFlight) < c.cfg.MaxInFlight
+		full := len(p.inFlight) >= c.cfg.MaxInFlight || p.inFlightBytes >= c.cfg.maxInFlightBytes()
+		return p.nextIndex <= c.log.last() && !full
 	default:
 		return false
 	}
@@ -125,7 +137,9 @@
 		p.retryTimerStart = c.now
 	}
 	p.nextIndex += uint64(len(entries))
-	p.inFlight = append(p.inFlight, p.nextIndex-1)
+	size := EntryBytes(entries...)
+	p.inFlight = append(p.inFlight, sentAppend{lastIndex: p.nextIndex - 1, bytes: size})
+	p.inFlightBytes += size
 }
 
 // retryPeer resends when a message or its reply seems to be lost. Nothing is
@@ -146,6 +160,8 @@
 			p.startProbing(p.matchIndex + 1)
 		}
 	case installing:
+		p.nextOffset = p.offset
+		p.chunkResentAt = c.now
 		c.sendSnapshotChunk(p)
 	}
 }
@@ -153,19 +169,34 @@
 func (p *peer) startProbing(next uint64) {
 	p.mode = probing
 	p.nextIndex = next
-	p.awaitingReply = false
-	p.inFlight = nil
-	p.snapshot = nil
+	p.reset()
 }
 
 func (p *peer) startStreaming() {
 	p.mode = streaming
 	p.nextIndex = p.matchIndex + 1
+	p.reset()
+}
+
+// reset clears the state of the previous mode.
+func (p *peer) reset() {
 	p.awaitingReply = false
 	p.inFlight = nil
+	p.inFlightBytes = 0
 	p.snapshot = nil
 }
 
+// acknowledgeInFlight removes the append messages that the replica has acknowledged.
+func (p *peer) acknowledgeInFlight() {
+	p.inFlight = slices.DeleteFunc(p.inFlight, func(s sentAppend) bool {
+		if s.lastIndex > p.matchIndex {
+			return false
+		}
+		p.inFlightBytes -= s.bytes
+		return true
+	})
+}
+
 // handleReply handles a reply to a message of the leader.
 func (c *Core) handleReply(m *Message) {
 	if c.role != Leader {
@@ -205,7 +236,7 @@
 		p.startStreaming()
 	case streaming:
 		p.nextIndex = max(p.nextIndex, p.matchIndex+1)
-		p.inFlight = slices.DeleteFunc(p.inFlight, func(index uint64) bool { return index <= p.matchIndex })
+		p.acknowledgeInFlight()
 	case installing:
 		if p.snapshot != nil && p.matchIndex >= p.snapshot.Index {
 			p.startStreaming()
--- a/core/agatequorum/ready.go
+++ b/core/agatequorum/ready.go
@@ -268,16 +268,18 @@
 		out.restore = sn
 		c.log.durableIndex = max(c.log.durableIndex, sn.Index)
 	}
-	keep := uint64(c.cfg.CatchUpEntries)
-	if sn.Index > keep {
-		c.log.compact(sn.Index - keep)
+	// A replica that lags by more than the size of the snapshot gets the snapshot.
+	limit := max(c.cfg.LogBytes, len(sn.Data))
+	if sn.Index > c.log.base {
+		c.log.compact(c.log.retained(sn.Index, c.cfg.CatchUpEntries, limit))
 	}
 	c.memberships.compact(sn.Index)
 }
 
 // Compact takes a snapshot of the state machine after the entry at index, which
 // must have been returned in Committed. Once the snapshot is durable, the log
-// entries before it are removed, except for the last CatchUpEntries. Compact
+// entries before it are removed, except for those that CatchUpEntries and LogBytes
+// allow to keep. Compact
 // returns false and does nothing if the snapshot is not newer than the last one,
 // if the entry is not durable, or if another snapshot is being written.
 func (c *Core) Compact(index uint64, data []byte) bool {
--- a/core/agatequorum/script_test.go
+++ b/core/agatequorum/script_test.go
@@ -76,8 +76,8 @@
 	case "replicas":
 		s.startGroup(sc.number(args[0]))
 	case "snapshot-every":
-		s.snapshotEvery = sc.number(args[0])
-		s.catchUpEntries = int(s.snapshotEvery) / 2
+		s.snapshotEvery = int(sc.number(args[0]))
+		s.catchUpEntries = s.snapshotEvery / 2
 	case "fsync":
 		s.minWriteTime = sc.duration(args[0])
 	case "delay":
--- a/core/agatequorum/sim_test.go
+++ b/core/agatequorum/sim_test.go
@@ -52,10 +52,19 @@
 	catchUpEntries int
 	messageBytes   int
 	maxInFlight    int
-	snapshotEvery  uint64
-	memberships    []proposedMembers // all that leaders have proposed
-	diskLostAt     time.Duration     // virtual time of the last lost disk
-	oracle         oracle
+	snapshotEvery  int
+	logBytes       int
+	// stateBytes is the size of a snapshot, and commandBytes that of a command.
+	stateBytes, commandBytes int
+	// bandwidth is the rate, in bytes per second, at which a replica sends, or 0 for
+	// no limit. sendingUntil is the time until which each one is busy.
+	bandwidth    int
+	sendingUntil map[uint64]time.Duration
+	// sentBytes is the size of the entries and snapshots sent to each replica.
+	sentBytes   map[uint64]int
+	memberships []proposedMembers // all that leaders have proposed
+	diskLostAt  time.Duration     // virtual time of the last lost disk
+	oracle      oracle
 	// onMessage is called for each message that a replica receives.
 	onMessage func(n *simNode, m agatequorum.Message)
 }
@@ -100,8 +109,9 @@
 	crashOnWrite   bool    // crashes during its next write
 	clockRate      float64 // relative to virtual time
 	frozenUntil    time.Duration
-	applied        uint64                // index of the last applied entry
-	stateHash      uint64                // hash over all applied entries
+	applied        uint64 // index of the last applied entry
+	stateHash      uint64 // hash over all applied entries
+	schedule       agatequorum.SnapshotSchedule
 	snapshotIndex  uint64                // index of the last snapshot
 	dueSnapshot    []byte                // not yet accepted by Compact
 	proposals      map[uint64][]proposal // uncommitted, by index
@@ -126,6 +136,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[uint64]*simNode{},
 		blocked: map[[2]uint64]bool{}, oneWayDelay: map[uint64]time.Duration{},
 		maxJitter: time.Millisecond, minWriteTime: time.Millisecond, catchUpEntries: 4, messageBytes: 64, maxInFlight: 4, snapshotEvery: simSnapshotEvery,
+		stateBytes: 160, commandBytes: 8, sendingUntil: map[uint64]time.Duration{}, sentBytes: map[uint64]int{},
 		oracle: oracle{
 			t: t, leaders: map[uint64]uint64{}, durable: map[position]map[uint64]bool{},
 			hashes: map[uint64]uint64{0: 0}, terms: map[uint64]uint64{},
@@ -200,6 +211,7 @@
 	}
 	for range copies {
 		d := max(s.oneWayDelay[m.From], s.oneWayDelay[m.To]) + time.Duration(s.rng.Float64()*float64(s.maxJitter))
+		d += s.transmit(m)
 		s.schedule(d, to, 0, func() {
 			if s.onMessage != nil {
 				s.onMessage(to, m)
@@ -209,6 +221,20 @@
 	}
 }
 
+// transmit returns the time until the sender of a message has sent it, after the
+// messages before it.
+func (s *sim) transmit(m agatequorum.Message) time.Duration {
+	size := agatequorum.EntryBytes(m.Entries...) + len(m.Snapshot.Data)
+	s.sentBytes[m.To] += size
+	if s.bandwidth == 0 {
+		return 0
+	}
+	begin := max(s.now, s.sendingUntil[m.From])
+	end := begin + time.Duration(size)*time.Second/time.Duration(s.bandwidth)
+	s.sendingUntil[m.From] = end
+	return end - s.now
+}
+
 // partition blocks all links between the given replicas and the others.
 func (s *sim) partition(side ...uint64) {
 	for _, a := range s.ids {
@@ -244,12 +270,16 @@
 	n.up = true
 	n.frozenUntil = 0
 	n.applied, n.stateHash, n.snapshotIndex, n.dueSnapshot = 0, 0, 0, nil
+	n.schedule = agatequorum.SnapshotSchedule{Entries: n.s.snapshotEvery, LogBytes: n.s.logBytes}
+	if n.s.logBytes == 0 {
+		n.schedule.LogBytes = agatequorum.DefaultLogBytes
+	}
 	n.proposals = map[uint64][]proposal{}
 	n.minReadIndex = map[uint64]uint64{}
 	saved := n.disk
 	saved.Entries = slices.Clone(saved.Entries)
 	n.core = agatequorum.New(agatequorum.Config{
-		ID: n.id, Bootstrap: n.bootstrap, Rand: n.s.rng.Uint64, MaxMessageBytes: n.s.messageBytes, MaxInFlight: n.s.maxInFlight, CatchUpEntries: n.s.catchUpEntries,
+		ID: n.id, Bootstrap: n.bootstrap, Rand: n.s.rng.Uint64, MaxMessageBytes: n.s.messageBytes, MaxInFlight: n.s.maxInFlight, CatchUpEntries: n.s.catchUpEntries, LogBytes: n.s.logBytes,
 	}, saved)
 	incarnation := n.incarnation
 	var tick func()
@@ -361,8 +391,9 @@
 func (n *simNode) apply(rd agatequorum.Ready) {
 	if sn := rd.Restore; sn != nil {
 		n.applied, n.snapshotIndex, n.stateHash = sn.Index, sn.Index, binary.BigEndian.Uint64(sn.Data)
+		n.schedule.Taken(len(sn.Data))
 		n.s.oracle.checkState(n)
-		if !bytes.Equal(sn.Data, snapshotData(n.stateHash)) {
+		if !bytes.Equal(sn.Data, snapshotData(n.stateHash, len(sn.Data))) {
 			n.s.t.Fatalf("replica %d restored a corrupt snapshot at index %d", n.id, n.applied)
 		}
 	}
@@ -372,6 +403,7 @@
 		}
 		n.applied = e.Index
 		n.stateHash = hashEntry(n.stateHash, e)
+		n.schedule.Applied(e)
 		n.s.oracle.recordCommit(n, e)
 		for _, p := range n.proposals[e.Index] {
 			if p.term == e.Term {
@@ -381,16 +413,18 @@
 		}
 		delete(n.proposals, e.Index)
 	}
-	if n.applied-n.snapshotIndex >= n.s.snapshotEvery {
+	n.schedule.Entries = n.s.snapshotEvery
+	if n.schedule.Due() {
 		n.snapshotIndex = n.applied
-		n.dueSnapshot = snapshotData(n.stateHash)
+		n.dueSnapshot = snapshotData(n.stateHash, n.s.stateBytes)
+		n.schedule.Taken(len(n.dueSnapshot))
 	}
 }
 
 // snapshotData returns a snapshot of several chunks, all of which depend on hash.
-func snapshotData(hash uint64) []byte {
+func snapshotData(hash uint64, size int) []byte {
 	var data []byte
-	for i := range uint64(20) {
+	for i := range uint64(size / 8) {
 		data = binary.BigEndian.AppendUint64(data, hash+i)
 	}
 	return data
@@ -405,7 +439,8 @@
 
 func (n *simNode) propose() agatequorum.Outcome {
 	data := n.s.rng.Uint64()
-	index, o := n.core.Propose(n.clock(), binary.BigEndian.AppendUint64(nil, data))
+	command := binary.BigEndian.AppendUint64(make([]byte, n.s.commandBytes-8), data)
+	index, o := n.core.Propose(n.clock(), command)
 	if o == agatequorum.Accepted {
 		n.proposals[index] = append(n.proposals[index], proposal{term: n.core.Status().Term, data: data})
 	}
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -203,7 +203,7 @@
 	c.id = saved.Identity
 	c.machine = agatestate.New(agatestate.Config{UsesOrdinals: agateplan.UsesOrdinals})
 	c.dialer = agatelink.NewDialer(agatelink.Config{TLS: cfg.ClientTLS, Dial: cfg.Dial})
-	c.sender = agatelink.NewSender(c.dialer)
+	c.sender = agatelink.NewSender(agatelink.SenderConfig{Dialer: c.dialer, QueueBytes: cfg.Settings.Limit.LogBytes()})
 	c.fresh.Store(saved.Fresh)
 	if err := c.listen(); err != nil {
 		c.shutdown()
@@ -306,6 +306,7 @@
 		},
 		SaveSnapshot:  c.store.SaveSnapshot,
 		SnapshotEvery: c.cfg.Settings.Snapshot,
+		LogBytes:      c.cfg.Settings.Limit.LogBytes(),
 		Heartbeat:     c.cfg.Heartbeat,
 		Stagger:       c.cfg.Stagger,
 		Logger:        c.log.Named("replica"),
--- a/io/agatecontrol/summary.go
+++ b/io/agatecontrol/summary.go
@@ -185,6 +185,9 @@
 	set.Gauge(agatemetrics.Term, "").Set(float64(st.Term))
 	set.Gauge(agatemetrics.CommitIndex, "").Set(float64(st.Commit))
 	set.Gauge(agatemetrics.AppliedIndex, "").Set(float64(st.Applied))
+	set.Gauge(agatemetrics.LogBytes, "").Set(float64(st.LogBytes))
+	set.Gauge(agatemetrics.Snapshots, "").Set(float64(st.Snapshots))
+	set.Gauge(agatemetrics.SnapshotBytes, "").Set(float64(st.SnapshotBytes))
 	set.Gauge(agatemetrics.ConfigRevision, "").Set(float64(c.machine.Config().Revision))
 	counts := c.machine.Counts()
 	records := counts.Claimed + counts.Done + counts.Unknown + counts.Refused
--- a/io/agatelink/sender.go
+++ b/io/agatelink/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"agategate/core/agatering"
@@ -14,48 +15,85 @@
 	// sendQueueSize limits the quorum messages queued for one replica. The
 	// consensus protocol resends lost messages.
 	sendQueueSize = 4096
+	// defaultQueueBytes is the default of SenderConfig.QueueBytes, in bytes.
+	defaultQueueBytes = 16 << 20
 	// streamRetryDelay is the delay before a failed stream is reopened.
 	streamRetryDelay = 50 * time.Millisecond
 )
 
+// SenderConfig configures a Sender.
+type SenderConfig struct {
+	// Dialer provides the connections. Required.
+	Dialer *Dialer
+	// QueueBytes limits the size of the messages queued for one replica. A message of
+	// any size is queued if no other one is. The default is 16 MiB.
+	QueueBytes int
+}
+
 // Sender delivers quorum messages to other control replicas. Each replica has
 // its own queue and stream, so that a slow replica does not delay the others.
 // Messages to a full queue are dropped. It is safe for concurrent use.
 type Sender struct {
-	dialer *Dialer
+	cfg    SenderConfig
 	cancel context.CancelFunc
 	ctx    context.Context
 
 	mu     sync.Mutex
-	queues map[netip.AddrPort]*agatering.Queue[*agatewire.Envelope]
+	queues map[netip.AddrPort]*sendQueue
 	wg     sync.WaitGroup
 }
 
-// NewSender returns a Sender that uses the connections of d.
-func NewSender(d *Dialer) *Sender {
+// sendQueue holds the messages for one replica.
+type sendQueue struct {
+	messages *agatering.Queue[*agatewire.Envelope]
+	bytes    atomic.Int64
+	limit    int64
+}
+
+func (q *sendQueue) offer(e *agatewire.Envelope) bool {
+	size := int64(len(e.Message))
+	if held := q.bytes.Load(); held > 0 && held+size > q.limit {
+		return false
+	}
+	q.bytes.Add(size)
+	if !q.messages.Offer(e) {
+		q.bytes.Add(-size)
+		return false
+	}
+	return true
+}
+
+// NewSender returns a Sender without queued messages.
+func NewSender(cfg SenderConfig) *Sender {
+	if cfg.QueueBytes <= 0 {
+		cfg.QueueBytes = defaultQueueBytes
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Sender{
-		dialer: d,
+		cfg:    cfg,
 		ctx:    ctx,
 		cancel: cancel,
-		queues: make(map[netip.AddrPort]*agatering.Queue[*agatewire.Envelope]),
+		queues: make(map[netip.AddrPort]*sendQueue),
 	}
 }
 
 // Send queues a message without blocking and reports whether the queue had
 // room.
 func (s *Sender) Send(addr netip.AddrPort, e *agatewire.Envelope) bool {
-	return s.queue(addr).Offer(e)
+	return s.queue(addr).offer(e)
 }
 
-func (s *Sender) queue(addr netip.AddrPort) *agatering.Queue[*agatewire.Envelope] {
+func (s *Sender) queue(addr netip.AddrPort) *sendQueue {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q, ok := s.queues[addr]
 	if ok {
 		return q
 	}
-	q = agatering.New[*agatewire.Envelope](agatering.Config{Capacity: sendQueueSize})
+	q = &sendQueue{
+		messages: agatering.New[*agatewire.Envelope](agatering.Config{Capacity: sendQueueSize}),
+		limit:    int64(s.cfg.QueueBytes),
+	}
 	s.queues[addr] = q
 	s.wg.Add(1)
 	go func() {
@@ -65,7 +103,7 @@
 	return q
 }
 
-func (s *Sender) run(addr netip.AddrPort, q *agatering.Queue[*agatewire.Envelope]) {
+func (s *Sender) run(addr netip.AddrPort, q *sendQueue) {
 	for s.ctx.Err() == nil {
 		s.sendQueued(addr, q)
 		select {
@@ -76,8 +114,8 @@
 }
 
 // sendQueued opens a stream and sends queued messages until the stream fails.
-func (s *Sender) sendQueued(addr netip.AddrPort, q *agatering.Queue[*agatewire.Envelope]) {
-	conn, err := s.dialer.Conn(addr)
+func (s *Sender) sendQueued(addr netip.AddrPort, q *sendQueue) {
+	conn, err := s.cfg.Dialer.Conn(addr)
 	if err != nil {
 		return
 	}
@@ -91,7 +129,8 @@
 		select {
 		case <-stream.Context().Done():
 			return
-		case e := <-q.Items():
+		case e := <-q.messages.Items():
+			q.bytes.Add(-int64(len(e.Message)))
 			if stream.Send(e) != nil {
 				return
 			}
--- a/io/agatemetrics/name.go
+++ b/io/agatemetrics/name.go
@@ -52,6 +52,9 @@
 	AppliedIndex      Name = "applied"
 	Proposals         Name = "proposals"
 	AppendTime        Name = "sync"
+	LogBytes          Name = "log"
+	Snapshots         Name = "snapshots"
+	SnapshotBytes     Name = "snapshotbytes"
 	ActionRecords     Name = "records"
 	ActionRecordBytes Name = "bytes"
 	Sessions          Name = "sessions"
@@ -115,6 +118,9 @@
 	{AppliedIndex, "gauge", "", "entries", "control", "highest applied log index"},
 	{Proposals, "counter", "outcome", "commands", "control", "commands proposed"},
 	{AppendTime, "histogram", "", "µs", "control", "time of one append to the log, including fsync"},
+	{LogBytes, "gauge", "", "bytes", "control", "size of the log entries held in memory"},
+	{Snapshots, "gauge", "", "snapshots", "control", "snapshots taken since the process started"},
+	{SnapshotBytes, "gauge", "", "bytes", "control", "size of these snapshots"},
 	{ActionRecords, "gauge", "", "records", "control", "records of actions"},
 	{ActionRecordBytes, "gauge", "", "bytes", "control", "size of all records of actions"},
 	{Sessions, "gauge", "", "hosts", "control", "entry hosts with a recent heartbeat"},
--- a/io/agatereplica/applier.go
+++ b/io/agatereplica/applier.go
@@ -34,10 +34,16 @@
 
 // applier is the task that owns the state machine.
 type applier struct {
-	r       *Replica
-	applied uint64
-	// snapshotIndex is the index of the last snapshot.
-	snapshotIndex uint64
+	r        *Replica
+	applied  uint64
+	schedule agatequorum.SnapshotSchedule
+}
+
+func newApplier(r *Replica) *applier {
+	return &applier{
+		r:        r,
+		schedule: agatequorum.SnapshotSchedule{Entries: r.cfg.SnapshotEvery, LogBytes: r.cfg.LogBytes},
+	}
 }
 
 func (a *applier) run() {
@@ -57,7 +63,7 @@
 			return report{err: fmt.Errorf("agatereplica: restore snapshot %d: %w", b.restore.Index, err)}
 		}
 		a.applied = b.restore.Index
-		a.snapshotIndex = b.restore.Index
+		a.schedule.Taken(len(b.restore.Data))
 	}
 	var rep report
 	for _, e := range b.entries {
@@ -69,6 +75,8 @@
 			rep.results = append(rep.results, result{index: e.Index, term: e.Term, value: value})
 		}
 		a.applied = e.Index
+		a.schedule.Applied(e)
+		a.r.unapplied.Add(-int64(agatequorum.EntryBytes(e)))
 	}
 	rep.applied = a.applied
 	rep.restored = b.restore != nil
@@ -78,7 +86,7 @@
 
 // snapshot takes a snapshot if one is due.
 func (a *applier) snapshot(rep *report) {
-	if a.applied-a.snapshotIndex < uint64(a.r.cfg.SnapshotEvery) {
+	if !a.schedule.Due() {
 		return
 	}
 	data, err := a.r.cfg.Snapshot()
@@ -86,7 +94,9 @@
 		a.r.cfg.Logger.Error("snapshot failed", "index", a.applied, "error", err)
 		return
 	}
-	a.snapshotIndex = a.applied
+	a.schedule.Taken(len(data))
+	a.r.snapshots.Add(1)
+	a.r.snapshotBytes.Add(int64(len(data)))
 	rep.snapshot = data
 	rep.hasSnapshot = true
 }
--- a/io/agatereplica/config.go
+++ b/io/agatereplica/config.go
@@ -22,6 +22,10 @@
 // ticksPerHeartbeat is the number of ticks in one heartbeat interval.
 const ticksPerHeartbeat = 5
 
+// unappliedFactor bounds the entries that wait to be applied, as a multiple of
+// Config.LogBytes. It is that of uncommitted entries.
+const unappliedFactor = 4
+
 // Config sets up a Replica. ID and the function fields down to SaveSnapshot
 // are required.
 type Config struct {
@@ -75,6 +79,11 @@
 	// CatchUpEntries is the number of entries kept in memory behind a snapshot,
 	// for replicas that lag. The default is 4,096.
 	CatchUpEntries int
+	// LogBytes bounds the size of the history that is kept beside the state; see
+	// agatequorum.Config. Messages of other replicas that carry entries are dropped
+	// while LogBytes of them wait to be handled, or four times that to be applied.
+	// The default is 16 MiB.
+	LogBytes int
 	// MaxPending is the maximum number of commands that wait to be committed,
 	// and also of those that wait to be applied. The default is 16,384.
 	MaxPending int
@@ -107,6 +116,7 @@
 	}
 	setDefault(&cfg.Heartbeat, agatequorum.DefaultHeartbeat)
 	setDefault(&cfg.SnapshotEvery, DefaultSnapshotEvery)
+	setDefault(&cfg.LogBytes, agatequorum.DefaultLogBytes)
 	setDefault(&cfg.MaxPending, agatequorum.DefaultMaxUncommitted)
 	setDefault(&cfg.RequestQueue, DefaultRequestQueue)
 	setDefault(&cfg.Inbox, DefaultInbox)
@@ -131,5 +141,6 @@
 		Rand:           cfg.Rand,
 		MaxUncommitted: cfg.MaxPending,
 		CatchUpEntries: cfg.CatchUpEntries,
+		LogBytes:       cfg.LogBytes,
 	}
 }
--- a/io/agatereplica/driver.go
+++ b/io/agatereplica/driver.go
@@ -75,7 +75,7 @@
 			d.core.Tick(now)
 			d.transferLeadership(now)
 		case m := <-d.r.inbox.Items():
-			d.core.Step(d.r.cfg.Clock(), m)
+			d.step(m)
 		case req := <-d.r.requests.Items():
 			d.handleRequest(req)
 		case done := <-d.r.written.Items():
@@ -96,7 +96,7 @@
 	for range drainLimit {
 		select {
 		case m := <-d.r.inbox.Items():
-			d.core.Step(d.r.cfg.Clock(), m)
+			d.step(m)
 		case req := <-d.r.requests.Items():
 			d.handleRequest(req)
 		default:
@@ -105,6 +105,12 @@
 	}
 }
 
+// step passes a message to the core.
+func (d *driver) step(m agatequorum.Message) {
+	d.r.inboxBytes.Add(-messageBytes(&m))
+	d.core.Step(d.r.cfg.Clock(), m)
+}
+
 // handleRequest reads the clock after the request was received: a lease that
 // was valid before a pause must not answer a request made after it.
 func (d *driver) handleRequest(req *request) {
@@ -126,7 +132,8 @@
 }
 
 func (d *driver) propose(now time.Duration, req *request) {
-	if d.lastStatus.Commit-d.applied >= uint64(d.r.cfg.MaxPending) && d.lastStatus.Commit > d.applied {
+	tooMuch := d.r.unapplied.Load() > unappliedFactor*int64(d.r.cfg.LogBytes)
+	if tooMuch || (d.lastStatus.Commit-d.applied >= uint64(d.r.cfg.MaxPending) && d.lastStatus.Commit > d.applied) {
 		req.reply(nil, ErrRefused)
 		return
 	}
@@ -199,8 +206,10 @@
 
 func (d *driver) enqueue(rd agatequorum.Ready) {
 	if rd.Restore != nil {
+		d.r.unapplied.Add(-int64(agatequorum.EntryBytes(d.backlog.entries...)))
 		d.backlog = batch{restore: rd.Restore}
 	}
+	d.r.unapplied.Add(int64(agatequorum.EntryBytes(rd.Committed...)))
 	d.backlog.entries = append(d.backlog.entries, rd.Committed...)
 }
 
@@ -313,7 +322,12 @@
 		Applied:     d.applied,
 		Members:     st.Members,
 		WriteFailed: st.WriteFailed,
-		Dropped:     d.r.inbox.Rejected(),
+		Dropped:     d.r.inbox.Rejected() + d.r.dropped.Load(),
+		LogBytes:    st.LogBytes,
+
+		Snapshots:     d.r.snapshots.Load(),
+		SnapshotBytes: d.r.snapshotBytes.Load(),
+		Learners:      d.core.Learners(),
 	})
 	// The transfer is done when another replica is known to lead. A replica
 	// without a vote does not wait for that.
--- a/io/agatereplica/group_test.go
+++ b/io/agatereplica/group_test.go
@@ -117,8 +117,10 @@
 	stores   map[uint64]*memStore
 	machines map[uint64]*counter
 	isolated map[uint64]bool
-	cfg      agatereplica.Config
-	fsync    time.Duration
+	// sent counts the bytes of entries and snapshots that each replica was sent.
+	sent  map[uint64]int
+	cfg   agatereplica.Config
+	fsync time.Duration
 	// hold blocks the drivers of all replicas while it has an item.
 	hold chan struct{}
 	// openStore, if set, opens the store of a replica in place of a memStore.
@@ -133,6 +135,7 @@
 		stores:   map[uint64]*memStore{},
 		machines: map[uint64]*counter{},
 		isolated: map[uint64]bool{},
+		sent:     map[uint64]int{},
 		cfg:      cfg,
 		fsync:    time.Millisecond,
 		hold:     make(chan struct{}, 1),
@@ -182,6 +185,9 @@
 	g.mu.Lock()
 	r := g.replicas[to]
 	isolated := g.isolated[from] || g.isolated[to]
+	if r != nil && !isolated {
+		g.sent[to] += agatequorum.EntryBytes(msg.Entries...) + len(msg.Snapshot.Data)
+	}
 	g.mu.Unlock()
 	if r == nil || isolated {
 		return
@@ -197,6 +203,12 @@
 	}
 }
 
+func (g *group) sentTo(id uint64) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sent[id]
+}
+
 // forget removes a replica from the network without closing it.
 func (g *group) forget(id uint64) *agatereplica.Replica {
 	g.mu.Lock()
--- a/io/agatereplica/replica.go
+++ b/io/agatereplica/replica.go
@@ -19,6 +19,15 @@
 	written  *agatering.Queue[agatequorum.WriteResult]
 	batches  *agatering.Queue[batch]
 	reports  *agatering.Queue[report]
+	// inboxBytes and unapplied are the sizes of the entries in the inbox, and of
+	// those that are committed and not applied yet.
+	inboxBytes atomic.Int64
+	unapplied  atomic.Int64
+	// snapshots and snapshotBytes count the snapshots taken.
+	snapshots atomic.Int64
+	// dropped counts the messages dropped because of their size.
+	dropped       atomic.Uint64
+	snapshotBytes atomic.Int64
 
 	status   atomic.Pointer[Status]
 	stop     chan struct{}
@@ -43,6 +52,13 @@
 	WriteFailed bool
 	// Dropped counts the messages that were dropped because the inbox was full.
 	Dropped uint64
+	// LogBytes is the size of the log that is held in memory.
+	LogBytes int
+	// Snapshots counts the snapshots that were taken, and SnapshotBytes their bytes.
+	Snapshots     int64
+	SnapshotBytes int64
+	// Learners tells how far the learners have caught up. Only a leader knows it.
+	Learners []agatequorum.Progress
 }
 
 // Open starts a replica that continues from cfg.Saved. Stop or Close stops it.
@@ -67,7 +83,7 @@
 	d.publish()
 	r.tasks.Go(d.run)
 	r.tasks.Go((&storeWriter{r: r, hard: cfg.Saved.HardState}).run)
-	r.tasks.Go((&applier{r: r}).run)
+	r.tasks.Go(newApplier(r).run)
 	go r.waitTasks()
 	return r, nil
 }
@@ -84,12 +100,28 @@
 
 // Deliver passes on a message from another replica. It ignores a message that
 // names another sender than from. It does not block: a message is dropped if
-// the inbox is full, which the protocol tolerates.
+// the inbox is full, in messages or in bytes, which the protocol tolerates.
 func (r *Replica) Deliver(from uint64, m agatequorum.Message) {
 	if m.From != from {
 		return
 	}
-	r.inbox.Offer(m)
+	size := messageBytes(&m)
+	held := r.inboxBytes.Load()
+	tooMuch := held > 0 && held+size > int64(r.cfg.LogBytes)
+	if size > 0 && (tooMuch || r.unapplied.Load() > unappliedFactor*int64(r.cfg.LogBytes)) {
+		r.dropped.Add(1)
+		return
+	}
+	r.inboxBytes.Add(size)
+	if !r.inbox.Offer(m) {
+		r.inboxBytes.Add(-size)
+	}
+}
+
+// messageBytes returns the size of the entries and of the part of a snapshot that a
+// message carries.
+func messageBytes(m *agatequorum.Message) int64 {
+	return int64(agatequorum.EntryBytes(m.Entries...) + len(m.Snapshot.Data))
 }
 
 // Stop closes the replica after it has transferred the leadership, if it is the
--- a/io/agatesettings/settings.go
+++ b/io/agatesettings/settings.go
@@ -98,8 +98,17 @@
 	Header      int `toml:"header" default:"65536" unit:"bytes" min:"1024" max:"1048576" help:"largest header of an operator's request"`
 	Connections int `toml:"connections" default:"64" unit:"connections" min:"1" max:"10000" help:"open connections of operators"`
 	Memory      int `toml:"memory" default:"1073741824" unit:"bytes" min:"16777216" max:"1099511627776" help:"memory of the process; requests and messages that arrive hold at most a quarter of it"`
+	Disk        int `toml:"disk" default:"4294967296" unit:"bytes" min:"1048576" max:"1099511627776" help:"space for the data directory; a snapshot is due after log entries of a 64th of this, or of limit.memory if that is less"`
 }
 
+// historyDivisor is the part of the memory and of the disk of a control process that
+// the log may grow by between two snapshots. The log, what is kept for replicas that
+// lag, and the messages to them are each a small multiple of it.
+const historyDivisor = 64
+
+// LogBytes returns the bound on the log entries between two snapshots, in bytes.
+func (l *ControlLimit) LogBytes() int { return min(l.Memory, l.Disk) / historyDivisor }
+
 // ControlTimeouts holds the timeouts of a control process.
 type ControlTimeouts struct {
 	Header time.Duration `toml:"header" default:"5s" min:"1ms" max:"10m" help:"time for an operator to send the header"`
