--- a/io/agatecontrol/group.go
+++ b/io/agatecontrol/group.go
@@ -27,9 +27,6 @@
 	// targetVoters is the number of voters of a group that heals itself. Five
 	// voters tolerate the loss of two.
 	targetVoters = 5
-	// maxRepairsPerRound bounds the membership changes of one round. Replacing
-	// two replicas takes four.
-	maxRepairsPerRound = 8
 )
 
 // findGroup returns the initial membership of a new group, or nil if the
@@ -270,36 +267,6 @@
 	return reply, nil
 }
 
-// repair makes the membership changes that the healer proposes, one after the
-// other, while this replica is the leader.
-func (c *Control) repair(ctx context.Context) {
-	for range maxRepairsPerRound {
-		if !c.isLeader() || !c.repairOnce(ctx) {
-			return
-		}
-	}
-}
-
-// repairOnce applies one membership change and reports whether one succeeded.
-func (c *Control) repairOnce(ctx context.Context) bool {
-	r := c.replica.Load()
-	st := r.Status()
-	for _, step := range c.healer.Steps(c.healView(st), c.identityAt) {
-		m, _ := st.Members.Find(step.Change.ID)
-		err := r.Change(ctx, step.Change)
-		if err == nil {
-			c.logMembership(step.Change.Kind, m, step.Reason)
-			return true
-		}
-		// A promotion fails until the learner has caught up, so only failed
-		// removals are logged.
-		if step.Change.Kind == agatequorum.Remove {
-			c.log.Warn("replica not removed", "kind", "placement", "choice", m.Address, "id", m.ID, "reason", step.Reason, "error", err)
-		}
-	}
-	return false
-}
-
 // identityAt returns the identity of the replica at an address.
 func (c *Control) identityAt(addr netip.AddrPort) (uint64, bool) {
 	reply, err := c.queryGroup(addr)
--- a/io/agatereplica/request.go
+++ b/io/agatereplica/request.go
@@ -93,9 +93,7 @@
 func (r *Replica) Change(ctx context.Context, ch agatequorum.Change) error {
 	var lastErr error
 	for {
-		req := newRequest(requestChange)
-		req.change = ch
-		_, err := r.submit(ctx, req)
+		err := r.TryChange(ctx, ch)
 		if lastErr != nil && err != nil && ctx.Err() != nil {
 			return fmt.Errorf("%w: %w", err, lastErr)
 		}
@@ -113,6 +111,15 @@
 	}
 }
 
+// TryChange makes a membership change if that is possible now, and returns once it is
+// committed.
+func (r *Replica) TryChange(ctx context.Context, ch agatequorum.Change) error {
+	req := newRequest(requestChange)
+	req.change = ch
+	_, err := r.submit(ctx, req)
+	return err
+}
+
 func (r *Replica) submit(ctx context.Context, req *request) ([]byte, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, fmt.Errorf("agatereplica: not proposed: %w", err)
