agatecontrol: a replica without a leader says so, and whether one can be elected

What callers saw was right already: entry hosts serve the last plan, and reads, changes, evacuations and heartbeats get 503. TestSystem/control-lost holds that, and the new line.

Change: after 5 s without a leader, and every 30 s from then on, a replica logs how many voters answer and in whose place another replica answers. If so many have lost their disk that the others are no majority, it says that no leader can be elected without an operator. A replica without state that finds no group to join says that too.

Tests: TestCountVoters, TestLeaderlessIsReportedRarely, TestSystem/control-lost (fails without the line, the rest of it passes).

--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -135,6 +135,8 @@
 	grantState     grantState
 	// hasLeader is whether the replica knew a leader at the last check.
 	hasLeader atomic.Bool
+	// leaderless is used only by the task that reports that no leader is known.
+	leaderless leaderless
 	// propagation is used only by the task that publishes the metrics.
 	propagation propagationTime
 	metrics     *metrics
@@ -280,6 +282,7 @@
 	c.tasks.Go(func() { c.every(repairInterval, c.repair) })
 	c.tasks.Go(func() { c.every(sweepInterval, c.sweep) })
 	c.tasks.Go(func() { c.every(leaderCheckInterval, c.checkLeader) })
+	c.tasks.Go(func() { c.every(leaderlessCheckInterval, c.reportLeaderless) })
 	c.tasks.Go(func() { c.every(sweepInterval, c.prepareQuotas) })
 	if c.cfg.Heal {
 		c.tasks.Go(func() { c.every(upstreamCheckInterval, c.checkUpstreams) })
--- a/io/agatecontrol/group.go
+++ b/io/agatecontrol/group.go
@@ -41,6 +41,9 @@
 		if found {
 			return bootstrap, true
 		}
+		if report, _ := c.leaderless.due(time.Now(), false); report {
+			c.log.Warn("changes and reads are refused: this replica has no state and finds no group to join", "kind", "placement", "reason", "no-group-to-join", "seeds", len(c.cfg.Seeds()))
+		}
 		select {
 		case <-c.ctx.Done():
 			return nil, false
