--- a/io/agatecontrol/repair_test.go
+++ b/io/agatecontrol/repair_test.go
@@ -25,7 +25,10 @@
 		begin := time.Now()
 		round := repairRound{
 			steps: func() []agateheal.Step { return open },
-			try: func(_ context.Context, ch agatequorum.Change) error {
+			try: func(ctx context.Context, ch agatequorum.Change) error {
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
 				if ch.ID == 1 && time.Since(begin) < 10*time.Second {
 					return agatereplica.ErrBehind
 				}
