agatestate: nobody's word takes an upstream out but its own, its silence or an operator's

Cause: an announcement took an address, an id or both from whoever had them if it named a later start, which everybody can. The upstream that lost its place counted as gone for good, and its heartbeats as ones that change nothing.

Change: Machine.judge (member.go) decides for every path what an announcement may change, by the table in docs/design/membership.md. A restart in place, a restart after silence, a service that only a later plan names, an address that passes on and a late heartbeat are as before. The log names a writer once for a reason.

--- a/core/agateplan/document.go
+++ b/core/agateplan/document.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -74,6 +75,23 @@
 	return cbor.Unmarshal(b, &doc) == nil && doc.Plan.Ordinals
 }
 
+// NamesService reports whether an encoded Document has a plan that names a service. It
+// reports false for other documents.
+func NamesService(b []byte, service string) bool {
+	if !IsDocument(b) {
+		return false
+	}
+	var doc struct {
+		Plan struct {
+			Services []Service `cbor:"2,keyasint"`
+		} `cbor:"1,keyasint"`
+	}
+	if cbor.Unmarshal(b, &doc) != nil {
+		return false
+	}
+	return slices.ContainsFunc(doc.Plan.Services, func(s Service) bool { return s.Name == service })
+}
+
 // maxPlanBytes is the largest size of an uncompressed plan that Unpack accepts. A
 // plan with a few thousand routes takes a few hundred kilobytes.
 const maxPlanBytes = 32 << 20
--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -70,11 +70,9 @@
 // process.
 func (u *Upstream) endsProcess() bool { return u.Gone && u.Sequence == 0 }
 
-// Announce applies announcements of upstreams. An announcement that is not
-// newer than the known state, or whose address belongs to a process that
-// started later, has no effect. Verdicts: Accepted, with Count set to the
-// number of upstreams that changed; Full if there was no room for some
-// upstream.
+// Announce applies announcements of upstreams. Verdicts: Accepted, with Count set to
+// the number of upstreams that changed; Disputed if some announcement contradicts a
+// member and has no effect; Full if there was no room for some upstream.
 type Announce struct {
 	Upstreams []Upstream
 }
@@ -92,6 +90,9 @@
 	upstream  Upstream
 	index     uint64
 	changedAt int64 // state time, Unix ms
+	// displaced is set if the process is Gone because another one has its address. It
+	// may come back elsewhere, or if that one falls silent.
+	displaced bool
 }
 
 // fleet holds the upstreams and the evacuated failure domains.
@@ -99,12 +100,13 @@
 	upstreams    map[string]*fleetEntry
 	addresses    map[netip.AddrPort]*fleetEntry // those that are not Gone, and the Expired ones
 	evacuated    []string                       // sorted
-	index        uint64                         // of the last change
-	droppedIndex uint64                         // highest index of a deleted entry
+	claims       map[claimKey]*claim
+	index        uint64 // of the last change
+	droppedIndex uint64 // highest index of a deleted entry
 }
 
 func newFleet() fleet {
-	return fleet{upstreams: map[string]*fleetEntry{}, addresses: map[netip.AddrPort]*fleetEntry{}}
+	return fleet{upstreams: map[string]*fleetEntry{}, addresses: map[netip.AddrPort]*fleetEntry{}, claims: map[claimKey]*claim{}}
 }
 
 // FleetDelta holds the changes of the fleet after a log index.
@@ -164,74 +166,93 @@
 
 func (m *Machine) announce(c *Announce) Result {
 	m.expireGone()
+	m.expireClaims()
 	r := Result{Verdict: Accepted}
 	for i := range c.Upstreams {
-		changed, stored := m.announceOne(&c.Upstreams[i])
+		changed, verdict := m.announceOne(&c.Upstreams[i])
 		if changed {
 			r.Count++
 		}
-		if !stored {
-			r.Verdict = Full
+		if verdict != Accepted {
+			r.Verdict = verdict
 		}
 	}
 	return r
 }
 
-// announceOne applies one announcement. It reports whether the state changed;
-// stored is false if there was no room for the upstream.
-func (m *Machine) announceOne(up *Upstream) (changed, stored bool) {
+// announceOne applies one announcement and reports whether the state changed.
+func (m *Machine) announceOne(up *Upstream) (changed bool, v Verdict) {
+	if up.endsProcess() {
+		return m.endProcess(up), Accepted
+	}
 	f := &m.fleet
-	old := f.upstreams[up.ID]
-	ordinal := 0
-	if old != nil {
-		ordinal = old.upstream.Ordinal
+	known := f.upstreams[up.ID]
+	j := m.judge(up)
+	if j.standing == Contested && !m.press(up, &j) {
+		f.defend(known, up)
+		return false, Disputed
 	}
-	if up.endsProcess() {
-		if old == nil || (up.StartedAtMs != 0 && up.StartedAtMs < old.upstream.StartedAtMs) {
-			return false, true
-		}
-		if old.upstream.Gone && (!old.upstream.Expired || up.Expired) {
-			return false, true
-		}
-		old.upstream.Gone = true
-		old.upstream.Expired = up.Expired
-		m.markChanged(old)
-		return true, true
+	if known == nil && len(f.upstreams) >= maxFleetUpstreams {
+		return false, Full
 	}
-	if old != nil && !up.newer(&old.upstream) {
-		return false, true
+	if j.standing == Confirming {
+		// The sequence stays that of the last change: a copy with a high one must not
+		// make the upstream's next change look old.
+		f.settle(known)
+		return false, Accepted
 	}
-	if old != nil && old.upstream.Gone && !old.upstream.Expired && old.upstream.StartedAtMs == up.StartedAtMs {
-		return false, true // a delayed announcement of a process that left
+	m.place(known, up)
+	return true, Accepted
+}
+
+// endProcess marks an upstream as gone that deregistered or expired, and reports whether
+// the state changed.
+func (m *Machine) endProcess(up *Upstream) bool {
+	old := m.fleet.upstreams[up.ID]
+	if old == nil || (up.StartedAtMs != 0 && up.StartedAtMs < old.upstream.StartedAtMs) {
+		return false
 	}
-	owner := f.addresses[up.Address]
-	if !up.Gone && owner != nil && owner.upstream.ID != up.ID {
-		if owner.upstream.StartedAtMs > up.StartedAtMs {
-			return false, true // the address belongs to a process that started later
-		}
+	if !up.Expired {
+		old.displaced = false // by its own word it does not come back
+	}
+	if old.upstream.Gone && (!old.upstream.Expired || up.Expired) {
+		return false
+	}
+	old.upstream.Gone = true
+	old.upstream.Expired = up.Expired
+	m.markChanged(old)
+	return true
+}
+
+// place puts an upstream at its address, in place of the process that is there.
+func (m *Machine) place(old *fleetEntry, up *Upstream) {
+	f := &m.fleet
+	if owner := f.addresses[up.Address]; !up.Gone && owner != nil && owner != old {
 		owner.upstream.Gone = true
 		owner.upstream.Expired = false
+		owner.displaced = true
 		m.markChanged(owner)
 	}
+	ordinal := 0
 	if old == nil {
-		if len(f.upstreams) >= maxFleetUpstreams {
-			return false, false
-		}
 		old = &fleetEntry{}
 		f.upstreams[up.ID] = old
-	} else if f.addresses[old.upstream.Address] == old {
-		delete(f.addresses, old.upstream.Address)
-	}
-	if old.upstream.Service != up.Service || old.upstream.Domain != up.Domain {
-		ordinal = 0
+	} else {
+		if f.addresses[old.upstream.Address] == old {
+			delete(f.addresses, old.upstream.Address)
+		}
+		if old.upstream.Service == up.Service && old.upstream.Domain == up.Domain {
+			ordinal = old.upstream.Ordinal
+		}
 	}
 	old.upstream = *up
+	old.displaced = false
 	m.assignOrdinal(old, ordinal)
 	if !up.Gone {
 		f.addresses[up.Address] = old
 	}
 	m.markChanged(old)
-	return true, true
+	f.settle(old)
 }
 
 // markChanged marks an entry as changed by the current command.
--- a/core/agatestate/machine.go
+++ b/core/agatestate/machine.go
@@ -70,6 +70,9 @@
 	// UsesOrdinals reports whether a configuration document asks for ordinals of
 	// upstreams. All replicas must agree on it. Nil means that none does.
 	UsesOrdinals func(document []byte) bool
+	// NamesService reports whether a configuration document names a service. All
+	// replicas must agree on it. Nil means that none does.
+	NamesService func(document []byte, service string) bool
 	// Retention is how long an action record is kept after its last change.
 	// The default is 24 h.
 	Retention time.Duration
--- a/core/agatestate/result.go
+++ b/core/agatestate/result.go
@@ -55,12 +55,14 @@
 	Final
 	// ProbeEnded: the probe has ended.
 	ProbeEnded
+	// Disputed: the announcement contradicts a member of the fleet.
+	Disputed
 )
 
 var verdicts = [...]string{
 	"invalid", "accepted", "conflict", "reused", "granted", "in-progress",
 	"done", "unknown", "mismatch", "held", "full", "refused", "recorded",
-	"missing", "expired", "counted", "clear", "final", "settled",
+	"missing", "expired", "counted", "clear", "final", "settled", "disputed",
 }
 
 // String returns the name of the verdict as it appears in logs.
--- a/core/agatestate/snapshot.go
+++ b/core/agatestate/snapshot.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -49,11 +50,22 @@
 		Index        uint64   `cbor:"2,keyasint"`
 		DroppedIndex uint64   `cbor:"3,keyasint"`
 		Evacuated    []string `cbor:"4,keyasint"`
+		NumClaims    int      `cbor:"5,keyasint,omitempty"`
 	}
 	snapUpstream struct {
 		Upstream  wireUpstream `cbor:"1,keyasint"`
 		Index     uint64       `cbor:"2,keyasint"`
 		ChangedAt int64        `cbor:"3,keyasint"`
+		Displaced bool         `cbor:"4,keyasint,omitempty"`
+	}
+	snapClaim struct {
+		ID          string         `cbor:"1,keyasint"`
+		Address     netip.AddrPort `cbor:"2,keyasint"`
+		Service     string         `cbor:"3,keyasint"`
+		StartedAtMs int64          `cbor:"4,keyasint"`
+		Sequence    uint64         `cbor:"5,keyasint"`
+		Since       int64          `cbor:"6,keyasint"`
+		LastAt      int64          `cbor:"7,keyasint"`
 	}
 	snapConfig struct {
 		Revision   uint64 `cbor:"1,keyasint"`
@@ -139,7 +151,12 @@
 		}
 	}
 	for _, e := range m.fleet.sortedByID() {
-		if err := enc.Encode(snapUpstream{wireUpstream(e.upstream), e.index, e.changedAt}); err != nil {
+		if err := enc.Encode(snapUpstream{wireUpstream(e.upstream), e.index, e.changedAt, e.displaced}); err != nil {
+			return err
+		}
+	}
+	for _, c := range m.fleet.sortedClaims() {
+		if err := enc.Encode(c.snap()); err != nil {
 			return err
 		}
 	}
@@ -167,7 +184,7 @@
 		NumCleared:          m.suspects.cleared.Len(),
 		NumWithDeaths:       m.suspects.withDeaths.Len(),
 		Limits:              wireLimits(m.limits()),
-		Fleet:               snapFleet{len(m.fleet.upstreams), m.fleet.index, m.fleet.droppedIndex, m.fleet.evacuated},
+		Fleet:               snapFleet{len(m.fleet.upstreams), m.fleet.index, m.fleet.droppedIndex, m.fleet.evacuated, len(m.fleet.claims)},
 	}
 	if cur.Revision > 0 {
 		h.Config = snapConfig{cur.Revision, cur.Document, cur.ChangeID, cur.Operator, cur.AcceptedAt.UnixMilli()}
@@ -269,6 +286,9 @@
 	if err := decodeEach(h.Fleet.NumUpstreams, &items, m.restoreUpstream); err != nil {
 		return err
 	}
+	if err := decodeEach(h.Fleet.NumClaims, &items, m.restoreClaim); err != nil {
+		return err
+	}
 	if len(items) > 0 {
 		return fmt.Errorf("%d trailing bytes", len(items))
 	}
@@ -306,7 +326,7 @@
 }
 
 func (m *Machine) restoreUpstream(w snapUpstream) error {
-	e := &fleetEntry{Upstream(w.Upstream), w.Index, w.ChangedAt}
+	e := &fleetEntry{Upstream(w.Upstream), w.Index, w.ChangedAt, w.Displaced}
 	m.fleet.upstreams[e.upstream.ID] = e
 	if !e.upstream.Gone || e.upstream.Expired {
 		m.fleet.addresses[e.upstream.Address] = e
@@ -314,6 +334,16 @@
 	return nil
 }
 
+func (c *claim) snap() snapClaim {
+	return snapClaim{c.key.ID, c.key.Address, c.key.Service, c.key.StartedAtMs, c.sequence, c.since, c.lastAt}
+}
+
+func (m *Machine) restoreClaim(w snapClaim) error {
+	key := claimKey{w.ID, w.Address, w.Service, w.StartedAtMs}
+	m.fleet.claims[key] = &claim{key: key, sequence: w.Sequence, since: w.Since, lastAt: w.LastAt}
+	return nil
+}
+
 func (m *Machine) restoreChange(w snapChange) error {
 	c := &change{id: w.ID, documentHash: w.DocumentHash, recordedAt: w.RecordedAt}
 	c.result = Result{Verdict: w.Verdict, Revision: w.Revision, ChangeID: w.ChangeID, Operator: w.Operator}
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -130,6 +130,7 @@
 	updates        broadcast
 	healer         *agateheal.Healer
 	contacts       contactTimes
+	refusals       refusals
 	clock          stateTime
 	applied        appliedTimes
 	grantState     grantState
@@ -203,7 +204,7 @@
 	}
 	c.store = store
 	c.id = saved.Identity
-	c.machine = agatestate.New(agatestate.Config{UsesOrdinals: agateplan.UsesOrdinals})
+	c.machine = agatestate.New(agatestate.Config{UsesOrdinals: agateplan.UsesOrdinals, NamesService: agateplan.NamesService})
 	c.dialer = agatelink.NewDialer(agatelink.Config{TLS: cfg.ClientTLS, Dial: cfg.Dial})
 	c.sender = agatelink.NewSender(agatelink.SenderConfig{Dialer: c.dialer, QueueBytes: cfg.Settings.Limit.LogBytes()})
 	c.fresh.Store(saved.Fresh)
--- a/io/agatecontrol/fleet.go
+++ b/io/agatecontrol/fleet.go
@@ -19,12 +19,13 @@
 	// leader, and one report of contacts. It is below the second after which
 	// clients of the control hosts try another one.
 	commitTimeout = 800 * time.Millisecond
-	// coldTolerance is the difference between the announced and the known warm-up
-	// time of an upstream from which the announcement counts as a change. State
-	// time advances in steps of up to one second.
-	coldTolerance = 1500 * time.Millisecond
 )
 
+// ErrDisputed is wrapped when an announcement contradicts a member of the fleet, or a
+// process that has deregistered. It has no effect, unless its sender goes on while that
+// member is silent.
+var ErrDisputed = errors.New("agatecontrol: announcement contradicts the fleet")
+
 // ErrOutcomeUnknown is returned when a forwarded command may or may not take
 // effect. It corresponds to agatereplica.ErrUnknown for local ones.
 var ErrOutcomeUnknown = errors.New("agatecontrol: outcome unknown, the command may still take effect")
@@ -60,22 +61,33 @@
 	return res, fmt.Errorf("%w: %s", ErrOutcomeUnknown, reply.Error)
 }
 
-// Announce handles an announcement of an upstream. It returns once the group
-// has stored the change, if there is one. After an error the upstream must
-// announce itself again, here or at another replica.
-func (c *Control) Announce(ctx context.Context, up agatestate.Upstream) error {
-	known, ok := c.machine.Upstream(up.ID)
+// Announce handles an announcement of an upstream that a writer sent. It returns once
+// the group has stored the change, if there is one, and the upstream is in the fleet.
+// After an error the upstream must announce itself again, here or at another replica;
+// one that wraps ErrDisputed says that the announcement contradicts the fleet.
+func (c *Control) Announce(ctx context.Context, writer netip.Addr, up agatestate.Upstream) error {
 	if !up.Gone {
-		c.contacts.recordLocal(up.ID, time.Now())
-	}
-	if ok && !needsCommit(&known, &up) {
-		if _, hasLeader := c.Leader(); !hasLeader {
-			return errNoLeader
+		standing, _, settles := c.machine.Judge(&up)
+		if standing != agatestate.Contested {
+			c.contacts.recordLocal(up.ID, time.Now())
+		}
+		if standing == agatestate.Confirming && !settles {
+			if _, hasLeader := c.Leader(); !hasLeader {
+				return errNoLeader
+			}
+			return nil
 		}
+	} else if known, ok := c.machine.Upstream(up.ID); ok && !needsCommit(&known, &up) {
 		return nil
 	}
 	res, err := c.commit(ctx, agatestate.Command{Announce: &agatestate.Announce{Upstreams: []agatestate.Upstream{up}}})
-	if err == nil && res.Verdict != agatestate.Accepted {
+	switch {
+	case err == nil && res.Verdict == agatestate.Disputed:
+		_, reason, _ := c.machine.Judge(&up)
+		err = fmt.Errorf("%w: %s", ErrDisputed, reason)
+		c.RefuseAnnouncement(writer, up.ID, reason, err)
+		return err
+	case err == nil && res.Verdict != agatestate.Accepted:
 		err = fmt.Errorf("agatecontrol: announcement: %s", res.Verdict)
 	}
 	c.log.Info("upstream announced", "kind", "announce", "choice", up.ID, "service", up.Service, "address", up.Address,
@@ -83,28 +95,20 @@
 	return err
 }
 
-var errNoLeader = errors.New("agatecontrol: no leader is known")
+// needsCommit reports whether the announcement of an upstream that leaves changes
+// anything.
+func needsCommit(known, _ *agatestate.Upstream) bool { return !known.Gone || known.Expired }
 
-// needsCommit reports whether an announcement changes more than the time of the
-// upstream's last contact. StartedAtMs identifies the upstream's process, Sequence
-// orders its announcements.
-func needsCommit(known, up *agatestate.Upstream) bool {
-	if up.Gone {
-		return !known.Gone || known.Expired
+// RefuseAnnouncement logs that an announcement has no effect, once for each writer and
+// reason. reason is one of a few fixed texts.
+func (c *Control) RefuseAnnouncement(writer netip.Addr, id, reason string, err error) {
+	if c.refusals.first(writer, reason, time.Now()) {
+		c.log.Warn("announcement refused", "kind", "announce", "writer", writer, "choice", id, "reason", reason, "error", err)
 	}
-	if up.StartedAtMs < known.StartedAtMs || (up.StartedAtMs == known.StartedAtMs && up.Sequence <= known.Sequence) {
-		return false
-	}
-	if known.Gone && up.StartedAtMs == known.StartedAtMs {
-		// A process that deregistered cannot return, one that only expired can.
-		return known.Expired
-	}
-	same := up.StartedAtMs == known.StartedAtMs && up.Service == known.Service && up.Address == known.Address &&
-		up.Domain == known.Domain && up.Slots == known.Slots && up.Draining == known.Draining && up.Gone == known.Gone
-	cold := up.WarmupLeft - known.WarmupLeft
-	return !same || cold > coldTolerance || -cold > coldTolerance || (up.WarmupLeft > 0 && known.WarmupLeft == 0)
 }
 
+var errNoLeader = errors.New("agatecontrol: no leader is known")
+
 // Evacuate starts or ends the evacuation of a failure domain, which gets no new
 // work meanwhile. It returns once the group has stored the change.
 func (c *Control) Evacuate(ctx context.Context, domain string, on bool) error {
