agatecontrol: a round of repairs reports why a step was not possible, not its own end

When the pause between two tries and the round ended at the same moment, the steps were tried once more and the log gave the expired deadline as the reason.

--- a/io/agatecontrol/repair.go
+++ b/io/agatecontrol/repair.go
@@ -46,11 +46,13 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-time.After(repairRetryInterval):
+		}
+		if ctx.Err() != nil {
 			for _, e := range errs {
 				r.pending(e.step, e.err)
 			}
 			return
-		case <-time.After(repairRetryInterval):
 		}
 	}
 }
