agateentry: a forwarded call whose reply has no status that can be sent counts as lost

Callers of the inventory's entry hosts would have seen their connection end, as net/http panics on a status of 0, if another entry host answered a forwarded call without a status (a build or an error that leaves it out). The heads that come from upstreams are all checked in agateupstream; this is the one reader of answers that takes a status from a message.

Such a reply is now one that does not come: 502, outcome unknown, and a read is tried at another host. TestPeerOutcome failed before (status 0 was "replied").

--- a/io/agateentry/forward.go
+++ b/io/agateentry/forward.go
@@ -10,6 +10,7 @@
 	"agategate/core/agateinventory"
 	"agategate/core/agatepeer"
 	"agategate/core/agateroute"
+	"agategate/internal/agateanswer"
 	"agategate/internal/agatebuffer"
 	"agategate/internal/agateclock"
 	"agategate/io/agatelog"
@@ -204,14 +205,21 @@
 	switch {
 	case err == nil && res.Declined != "":
 		return agatepeer.Declined
-	case err == nil:
+	case err == nil && isFinalStatus(res.Status):
 		return agatepeer.Replied
+	case err == nil:
+		return agatepeer.Unreachable // no answer that can be passed on; the call may have run
 	case ctx.Err() != nil:
 		return agatepeer.Canceled
 	}
 	return agatepeer.Unreachable
 }
 
+// isFinalStatus reports whether a status can be that of a response to a caller.
+func isFinalStatus(status uint32) bool {
+	return status >= http.StatusOK && agateanswer.CheckStatus(int(status)) == nil
+}
+
 // logForward records the end of a forwarded call.
 func (e *Entry) logForward(cl *call, peer string, res *agatewire.ForwardReply, o agatepeer.Outcome) {
 	e.metrics.set.Counter(agatemetrics.Forwarded, o.String()).Add(1)
