--- a/core/agateheal/heal.go
+++ b/core/agateheal/heal.go
@@ -3,8 +3,10 @@
 // a voter. Package agatequorum accepts a proposed change or rejects it as unsafe.
 //
 // A group of five keeps everything it has acknowledged as long as at most two
-// disks are lost within the time needed to replace them (about 3 s, at most 4 s),
-// even if other replicas are unresponsive meanwhile. An unresponsive voter may be
+// disks are lost within the time needed to replace them, even if other replicas are
+// unresponsive meanwhile. That time is about 2 s and what it takes to send the state and
+// the log, which agatequorum bounds by Config.LogBytes; nothing here waits for a copy
+// before a lost identity is removed. An unresponsive voter may be
 // lost or only paused, so it is replaced in two steps that each preserve
 // this guarantee: first a learner is promoted to a sixth voter, then the
 // unresponsive voter is removed. Of six voters four are a majority, and two lost
--- a/io/agatereplica/history_test.go
+++ b/io/agatereplica/history_test.go
@@ -157,3 +157,25 @@
 	assert.NilError(t, err)
 	return n
 }
+
+// Guards against messages of other replicas that fill the memory while the replica is
+// slow to handle them.
+func TestInboxBytes(t *testing.T) {
+	run(t, 3, agatereplica.Config{LogBytes: historyLogBytes}, func(t *testing.T, g *group) {
+		l := g.leader()
+		id := l.Status().ID%3 + 1
+		r := g.replicas[id]
+		synctest.Wait()
+		g.hold <- struct{}{} // the drivers wait for the clock
+		time.Sleep(time.Millisecond)
+		before := r.Status().Dropped
+		entry := agatequorum.Entry{Term: 1, Index: 1, Data: make([]byte, historyLogBytes/4)}
+		for range 8 {
+			r.Deliver(l.Status().ID, agatequorum.Message{Kind: agatequorum.MessageAppend, From: l.Status().ID, To: id, Entries: []agatequorum.Entry{entry}})
+		}
+		<-g.hold
+		time.Sleep(time.Second)
+		assert.Equal(t, r.Status().Dropped-before, uint64(5))
+		propose(t, g.leader(), 1)
+	})
+}
