agatecontrol: replicas speak for the upstreams that they have heard

Change: a plain heartbeat is known to the replica that received it only. So a replica that applies a claim against a member, and has received a heartbeat of it within 2 s, announces it once more, unchanged, which ends the claim; a claim that nobody answers is believed after 1 s. A contested announcement with the id of a member, from its address, keeps other ids from it for 2 s.

--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -93,6 +93,9 @@
 	// displaced is set if the process is Gone because another one has its address. It
 	// may come back elsewhere, or if that one falls silent.
 	displaced bool
+	// defendedAt is the state time of the last contested announcement with the id of
+	// this member from its address, or 0.
+	defendedAt int64
 }
 
 // fleet holds the upstreams and the evacuated failure domains.
@@ -189,7 +192,7 @@
 	known := f.upstreams[up.ID]
 	j := m.judge(up)
 	if j.standing == Contested && !m.press(up, &j) {
-		f.defend(known, up)
+		m.defend(known, up)
 		return false, Disputed
 	}
 	if known == nil && len(f.upstreams) >= maxFleetUpstreams {
@@ -247,6 +250,7 @@
 	}
 	old.upstream = *up
 	old.displaced = false
+	old.defendedAt = 0
 	m.assignOrdinal(old, ordinal)
 	if !up.Gone {
 		f.addresses[up.Address] = old
--- a/core/agatestate/member.go
+++ b/core/agatestate/member.go
@@ -14,10 +14,15 @@
 // table.
 
 const (
-	// claimDelay is how long a member must have been silent, and the sender of
-	// announcements that contradict it must have gone on, until these are believed. It
-	// is longer than a heartbeat interval and its jitter.
-	claimDelay = 2500 * time.Millisecond
+	// claimDelay is how long the sender of announcements that contradict a member must
+	// go on until these are believed, if nobody speaks for the member meanwhile: the
+	// member itself, or a replica that has heard it of late. It leaves the replicas the
+	// time to learn of the claim and to answer it.
+	claimDelay = time.Second
+	// defenceWindow is how long a contested announcement with the id of a member, from
+	// the member's address, keeps other ids from taking the address. It is longer than a
+	// heartbeat interval and its jitter.
+	defenceWindow = 2 * time.Second
 	// rejoinDelay is the same for a process that has deregistered. It may go on to
 	// serve, and to announce itself, for many seconds after that.
 	rejoinDelay = 20 * time.Second
@@ -70,6 +75,31 @@
 	}
 }
 
+// Claims returns the number of claims, answered or not.
+func (m *Machine) Claims() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return len(m.fleet.claims)
+}
+
+// ClaimedMembers returns the members against which there are claims that nobody has
+// answered. A replica that has heard one of them of late answers for it by announcing it
+// once more, unchanged.
+func (m *Machine) ClaimedMembers() []Upstream {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if len(m.fleet.claims) == 0 {
+		return nil
+	}
+	var out []Upstream
+	for _, e := range m.fleet.upstreams {
+		if !e.upstream.Gone && m.fleet.claimed(e) {
+			out = append(out, m.withWarmupLeft(e))
+		}
+	}
+	return out
+}
+
 // Judge returns the standing of an announcement, and what it contradicts if it is
 // contested. A member's announcement that confirms it must still be applied if it
 // answers a claim; settles reports that.
@@ -199,13 +229,21 @@
 	if c.since == 0 {
 		c.since = m.now
 	}
-	if m.now-c.since < millis(j.delay) {
+	if m.now-c.since < millis(j.delay) || m.defended(j.holders, up.ID) {
 		return false
 	}
 	delete(f.claims, key)
 	return true
 }
 
+// defended reports whether a process with the id of one of the members has announced
+// itself at that member's address of late, though not in a way that was believed.
+func (m *Machine) defended(members []*fleetEntry, claimant string) bool {
+	return slices.ContainsFunc(members, func(e *fleetEntry) bool {
+		return e.upstream.ID != claimant && e.defendedAt > 0 && m.now-e.defendedAt < millis(defenceWindow)
+	})
+}
+
 // suspend keeps new requests away from members until they announce themselves again.
 func (m *Machine) suspend(members []*fleetEntry) {
 	for _, e := range members {
@@ -223,17 +261,11 @@
 	}
 }
 
-// defend ends the claims of other upstreams to the address of a member when a process
-// with the member's id announces itself there, whichever of the processes with that id
-// it is.
-func (f *fleet) defend(member *fleetEntry, up *Upstream) {
-	if member == nil || member.upstream.Gone || member.upstream.Address != up.Address {
-		return
-	}
-	for _, c := range f.claims {
-		if c.key.Address == up.Address && c.key.ID != up.ID {
-			c.since = 0
-		}
+// defend records that a process with the id of a member has announced itself at that
+// member's address, whichever of the processes with that id it is.
+func (m *Machine) defend(member *fleetEntry, up *Upstream) {
+	if member != nil && !member.upstream.Gone && member.upstream.Address == up.Address {
+		member.defendedAt = m.now
 	}
 }
 
--- a/core/agatestate/snapshot.go
+++ b/core/agatestate/snapshot.go
@@ -57,6 +57,7 @@
 		Index     uint64       `cbor:"2,keyasint"`
 		ChangedAt int64        `cbor:"3,keyasint"`
 		Displaced bool         `cbor:"4,keyasint,omitempty"`
+		Defended  int64        `cbor:"5,keyasint,omitempty"`
 	}
 	snapClaim struct {
 		ID          string         `cbor:"1,keyasint"`
@@ -151,7 +152,7 @@
 		}
 	}
 	for _, e := range m.fleet.sortedByID() {
-		if err := enc.Encode(snapUpstream{wireUpstream(e.upstream), e.index, e.changedAt, e.displaced}); err != nil {
+		if err := enc.Encode(snapUpstream{wireUpstream(e.upstream), e.index, e.changedAt, e.displaced, e.defendedAt}); err != nil {
 			return err
 		}
 	}
@@ -326,7 +327,7 @@
 }
 
 func (m *Machine) restoreUpstream(w snapUpstream) error {
-	e := &fleetEntry{Upstream(w.Upstream), w.Index, w.ChangedAt, w.Displaced}
+	e := &fleetEntry{Upstream(w.Upstream), w.Index, w.ChangedAt, w.Displaced, w.Defended}
 	m.fleet.upstreams[e.upstream.ID] = e
 	if !e.upstream.Gone || e.upstream.Expired {
 		m.fleet.addresses[e.upstream.Address] = e
--- a/core/agatestate/writers_test.go
+++ b/core/agatestate/writers_test.go
@@ -16,6 +16,10 @@
 	writersSeeds     = 200
 	writersDuration  = 60 * time.Second
 	writersHeartbeat = 1500 * time.Millisecond
+	// A replica that has heard a process within writersVouch speaks for it; it learns of
+	// claims at this interval.
+	writersVouch         = 2 * time.Second
+	writersVouchInterval = 250 * time.Millisecond
 	// writersReturn is the time within which a member is back after another writer has
 	// copied its id, address and start time: the delay of a claim, and the heartbeats
 	// before and after it.
@@ -37,6 +41,8 @@
 	now    time.Duration
 	index  uint64
 	owners []*owner
+	// heard are the times of the last acknowledged announcements, by id and start.
+	heard map[string]time.Duration
 }
 
 func writersAddr(n int) netip.AddrPort {
@@ -45,7 +51,7 @@
 
 func newWriters(t *testing.T, seed uint64) *writers {
 	w := &writers{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)),
+		t: t, heard: map[string]time.Duration{}, rng: rand.New(rand.NewPCG(seed, 1)),
 		m: agatestate.New(agatestate.Config{NamesService: func(_ []byte, s string) bool { return s != "unnamed" }}),
 	}
 	for i := range 6 {
@@ -66,6 +72,24 @@
 	return r.Verdict
 }
 
+// announce applies an announcement that a replica has received.
+func (w *writers) announce(up agatestate.Upstream) agatestate.Verdict {
+	v := w.apply(up)
+	if v == agatestate.Accepted {
+		w.heard[fmt.Sprint(up.ID, up.StartedAtMs)] = w.now
+	}
+	return v
+}
+
+// vouch answers the claims against members that were heard of late.
+func (w *writers) vouch() {
+	for _, up := range w.m.ClaimedMembers() {
+		if at, ok := w.heard[fmt.Sprint(up.ID, up.StartedAtMs)]; ok && w.now-at <= writersVouch {
+			w.apply(up)
+		}
+	}
+}
+
 // beat sends the heartbeats that are due. One that is acknowledged means that the
 // upstream is in the fleet as it says.
 func (w *writers) beat() {
@@ -75,7 +99,7 @@
 		}
 		o.nextAt = w.now + writersHeartbeat - 200*time.Millisecond + time.Duration(w.rng.Int64N(int64(400*time.Millisecond)))
 		o.up.Sequence++
-		if w.apply(o.up) == agatestate.Accepted {
+		if w.announce(o.up) == agatestate.Accepted {
 			assert.Assert(w.t, w.holds(o), "%v: acknowledged, but not in the fleet: %+v", w.now, o.up)
 		}
 	}
@@ -110,7 +134,7 @@
 		}
 		o.copiedAt = w.now
 	}
-	w.apply(up)
+	w.announce(up)
 }
 
 // Guards against an upstream that another writer takes out of the fleet, by copies of any
@@ -121,6 +145,9 @@
 			w := newWriters(t, seed)
 			for ; w.now < writersDuration; w.now += 50 * time.Millisecond {
 				w.beat()
+				if w.now%writersVouchInterval == 0 {
+					w.vouch()
+				}
 				if w.now > 2*time.Second && w.now < writersDuration-2*writersReturn && w.rng.IntN(5) == 0 {
 					w.forge()
 				}
--- a/io/agatecontrol/contacts.go
+++ b/io/agatecontrol/contacts.go
@@ -21,6 +21,10 @@
 	// heartbeat within this time.
 	aliveWindow   = 4 * time.Second
 	minAliveShare = 0.5
+	// vouchWindow is the time after a heartbeat for which a replica speaks for the
+	// upstream. It is longer than a heartbeat interval and its jitter, and not longer
+	// than the time after which an address may pass to another upstream.
+	vouchWindow = 2 * time.Second
 	// maxContacts bounds the number of recorded upstreams. The record is cleared
 	// when it is full.
 	maxContacts = 65536
@@ -31,24 +35,45 @@
 type contactTimes struct {
 	mu          sync.Mutex
 	lastContact map[string]time.Time
-	unreported  map[string]bool // received here since the last report to the leader
+	// lastLocal holds the contacts of this replica only, by process.
+	lastLocal  map[process]time.Time
+	unreported map[string]bool // received here since the last report to the leader
 	// registered holds the upstreams that the last call of expired was given.
 	registered map[string]bool
 	term       uint64
 	termSince  time.Time // time of the first check in this term
 }
 
-// recordLocal records a heartbeat received by this replica.
-func (h *contactTimes) recordLocal(id string, now time.Time) {
+// process identifies one process of an upstream.
+type process struct {
+	id          string
+	startedAtMs int64
+}
+
+// recordLocal records a heartbeat of a process that was received by this replica.
+func (h *contactTimes) recordLocal(id string, startedAtMs int64, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.set(id, now)
+	if h.lastLocal == nil || len(h.lastLocal) >= maxContacts {
+		h.lastLocal = make(map[process]time.Time)
+	}
+	h.lastLocal[process{id, startedAtMs}] = now
 	if h.unreported == nil {
 		h.unreported = make(map[string]bool)
 	}
 	h.unreported[id] = true
 }
 
+// heardLocally reports whether this replica has received a heartbeat of a process within
+// vouchWindow.
+func (h *contactTimes) heardLocally(id string, startedAtMs int64, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	last, ok := h.lastLocal[process{id, startedAtMs}]
+	return ok && now.Sub(last) <= vouchWindow
+}
+
 // recordRemote records heartbeats received by another replica.
 func (h *contactTimes) recordRemote(ids []string, now time.Time) {
 	h.mu.Lock()
--- a/io/agatecontrol/contacts_test.go
+++ b/io/agatecontrol/contacts_test.go
@@ -47,8 +47,7 @@
 // acknowledged without being stored because the upstream has expired.
 func TestFinalAnnouncementOfExpiredUpstream(t *testing.T) {
 	expired := &agatestate.Upstream{ID: "u1", StartedAtMs: 5, Sequence: 9, Gone: true, Expired: true}
-	leaves := &agatestate.Upstream{ID: "u1", StartedAtMs: 5, Gone: true}
-	assert.Assert(t, needsCommit(expired, leaves))
+	assert.Assert(t, canLeave(expired))
 	gone := &agatestate.Upstream{ID: "u1", StartedAtMs: 5, Sequence: 9, Gone: true}
-	assert.Assert(t, !needsCommit(gone, leaves))
+	assert.Assert(t, !canLeave(gone))
 }
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -151,6 +151,8 @@
 
 	// revisionApplied receives an item when a new revision was applied locally.
 	revisionApplied chan struct{}
+	// claimed receives an item when there may be a new claim against a member.
+	claimed chan struct{}
 	// failed is closed when the replica stops because of an error.
 	failed chan struct{}
 	ctx    context.Context
@@ -182,6 +184,7 @@
 		metrics:         &metrics{set: cfg.Metrics},
 		revisionApplied: make(chan struct{}, 1),
 		decoding:        make(chan struct{}, 1),
+		claimed:         make(chan struct{}, 1),
 		failed:          make(chan struct{}),
 	}
 	healConfig := agateheal.Config{}
@@ -279,6 +282,7 @@
 	c.tasks.Go(func() { c.watchReplica(r) })
 	c.fresh.Store(saved.Fresh && len(bootstrap) == 0)
 	c.tasks.Go(c.notifyRevisions)
+	c.tasks.Go(c.vouchForMembers)
 	c.tasks.Go(func() { c.every(expireInterval, c.expire) })
 	c.tasks.Go(func() { c.every(repairInterval, c.repair) })
 	c.tasks.Go(func() { c.every(sweepInterval, c.sweep) })
@@ -322,6 +326,9 @@
 func (c *Control) applyCommand(index uint64, data []byte) []byte {
 	before, fleet := c.machine.Config().Revision, c.machine.FleetIndex()
 	out := c.machine.Apply(index, data)
+	if c.machine.Claims() > 0 {
+		c.signalClaims()
+	}
 	after := c.machine.Config().Revision
 	if after > before || c.machine.FleetIndex() > fleet {
 		c.updates.notify()
--- a/io/agatecontrol/fleet.go
+++ b/io/agatecontrol/fleet.go
@@ -69,7 +69,7 @@
 	if !up.Gone {
 		standing, _, settles := c.machine.Judge(&up)
 		if standing != agatestate.Contested {
-			c.contacts.recordLocal(up.ID, time.Now())
+			c.contacts.recordLocal(up.ID, up.StartedAtMs, time.Now())
 		}
 		if standing == agatestate.Confirming && !settles {
 			if _, hasLeader := c.Leader(); !hasLeader {
@@ -77,7 +77,7 @@
 			}
 			return nil
 		}
-	} else if known, ok := c.machine.Upstream(up.ID); ok && !needsCommit(&known, &up) {
+	} else if known, ok := c.machine.Upstream(up.ID); ok && !canLeave(&known) {
 		return nil
 	}
 	res, err := c.commit(ctx, agatestate.Command{Announce: &agatestate.Announce{Upstreams: []agatestate.Upstream{up}}})
@@ -95,9 +95,9 @@
 	return err
 }
 
-// needsCommit reports whether the announcement of an upstream that leaves changes
-// anything.
-func needsCommit(known, _ *agatestate.Upstream) bool { return !known.Gone || known.Expired }
+// canLeave reports whether a deregistration changes the state of an upstream. One that has
+// expired may still deregister, so that hosts do not go on to use it.
+func canLeave(known *agatestate.Upstream) bool { return !known.Gone || known.Expired }
 
 // RefuseAnnouncement logs that an announcement has no effect, once for each writer and
 // reason. reason is one of a few fixed texts.
--- a/io/agatereplica/driver.go
+++ b/io/agatereplica/driver.go
@@ -324,8 +324,8 @@
 		WriteFailed: st.WriteFailed,
 		Dropped:     d.r.inbox.Rejected() + d.r.dropped.Load(),
 		LogBytes:    st.LogBytes,
+		Snapshots:   d.r.snapshots.Load(),
 
-		Snapshots:     d.r.snapshots.Load(),
 		SnapshotBytes: d.r.snapshotBytes.Load(),
 		Learners:      d.core.Learners(),
 	})
--- a/io/agatereplica/replica.go
+++ b/io/agatereplica/replica.go
@@ -23,10 +23,10 @@
 	// those that are committed and not applied yet.
 	inboxBytes atomic.Int64
 	unapplied  atomic.Int64
-	// snapshots and snapshotBytes count the snapshots taken.
-	snapshots atomic.Int64
 	// dropped counts the messages dropped because of their size.
-	dropped       atomic.Uint64
+	dropped atomic.Uint64
+	// snapshots and snapshotBytes count the snapshots taken.
+	snapshots     atomic.Int64
 	snapshotBytes atomic.Int64
 
 	status   atomic.Pointer[Status]
