agatestate: an upstream whose service no plan names holds no place against one that is named

What callers saw: 503 for every request of a service whose upstreams started, restarted or were replaced while another writer announced their ids or addresses for a service that no plan names, for as long as that went on.

Cause: such an announcement was a member with all rights. Who came first, or claimed an id or an address while its owner was silent, kept it, and the owner's announcements were contested.

Change: the rank of an upstream decides before the table does. One whose service the plan in force names takes its id and its address from others at once; an announcement for another service is rejected beside it, without a claim. A listed upstream whose service a plan drops ranks between the two. Hosts are told of an upstream when a plan first names its service, in the command that puts the plan into force, so that plans decide the same on all replicas and in a replay. The names of a plan's services are decoded once for a plan, not for each announcement.

"members" in scripts lists what is kept, also what hosts are not told of.

--- a/core/agateplan/document.go
+++ b/core/agateplan/document.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -75,21 +74,22 @@
 	return cbor.Unmarshal(b, &doc) == nil && doc.Plan.Ordinals
 }
 
-// NamesService reports whether an encoded Document has a plan that names a service. It
-// reports false for other documents.
-func NamesService(b []byte, service string) bool {
-	if !IsDocument(b) {
-		return false
-	}
+// NamedServices returns a function that reports whether the plan of an encoded Document
+// names a service. Other documents name none.
+func NamedServices(b []byte) func(service string) bool {
 	var doc struct {
 		Plan struct {
 			Services []Service `cbor:"2,keyasint"`
 		} `cbor:"1,keyasint"`
 	}
-	if cbor.Unmarshal(b, &doc) != nil {
-		return false
+	if !IsDocument(b) || cbor.Unmarshal(b, &doc) != nil {
+		return func(string) bool { return false }
+	}
+	names := make(map[string]bool, len(doc.Plan.Services))
+	for _, s := range doc.Plan.Services {
+		names[s.Name] = true
 	}
-	return slices.ContainsFunc(doc.Plan.Services, func(s Service) bool { return s.Name == service })
+	return func(service string) bool { return names[service] }
 }
 
 // maxPlanBytes is the largest size of an uncompressed plan that Unpack accepts. A
--- a/core/agatestate/config.go
+++ b/core/agatestate/config.go
@@ -76,6 +76,7 @@
 			Operator:   c.Operator,
 			AcceptedAt: time.UnixMilli(m.now),
 		}
+		m.updateServices()
 		m.updateOrdinals()
 	}
 	return Result{Verdict: verdict, Revision: cur.Revision, ChangeID: cur.ChangeID, Operator: cur.Operator}
--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -9,9 +9,8 @@
 const (
 	// MaxUpstreams bounds the upstreams of one Announce.
 	MaxUpstreams = 4096
-	// maxFleetUpstreams bounds the upstreams that are kept, including those
-	// that are gone.
-	maxFleetUpstreams = 65536
+	// MaxMembers bounds the upstreams that are kept, including those that are gone.
+	MaxMembers = 65536
 	// goneRetention is how long an upstream that left is kept, so that a
 	// delayed announcement does not add it again.
 	goneRetention = 2 * time.Minute
@@ -102,6 +101,7 @@
 type fleet struct {
 	upstreams    map[string]*fleetEntry
 	addresses    map[netip.AddrPort]*fleetEntry // those that are not Gone, and the Expired ones
+	unlisted     map[string]*fleetEntry         // those of which hosts are not told
 	evacuated    []string                       // sorted
 	claims       map[claimKey]*claim
 	index        uint64 // of the last change
@@ -109,7 +109,10 @@
 }
 
 func newFleet() fleet {
-	return fleet{upstreams: map[string]*fleetEntry{}, addresses: map[netip.AddrPort]*fleetEntry{}, claims: map[claimKey]*claim{}}
+	return fleet{
+		upstreams: map[string]*fleetEntry{}, addresses: map[netip.AddrPort]*fleetEntry{},
+		unlisted: map[string]*fleetEntry{}, claims: map[claimKey]*claim{},
+	}
 }
 
 // FleetDelta holds the changes of the fleet after a log index.
@@ -125,7 +128,11 @@
 	Evacuated []string
 }
 
-// Fleet returns the changes after a log index; 0 returns the whole fleet.
+// isUnlisted reports whether hosts are not told of an upstream.
+func (f *fleet) isUnlisted(e *fleetEntry) bool { return f.unlisted[e.upstream.ID] == e }
+
+// Fleet returns the changes after a log index; 0 returns the whole fleet. Upstreams of
+// services that no plan has named yet are left out.
 func (m *Machine) Fleet(since uint64) FleetDelta {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -133,7 +140,7 @@
 	d := FleetDelta{Index: f.index, Evacuated: slices.Clone(f.evacuated)}
 	d.Full = since == 0 || since < f.droppedIndex
 	for _, e := range f.upstreams {
-		if e.index <= since && !d.Full {
+		if f.isUnlisted(e) || (e.index <= since && !d.Full) {
 			continue
 		}
 		d.Upstreams = append(d.Upstreams, m.withWarmupLeft(e))
@@ -191,17 +198,20 @@
 	f := &m.fleet
 	known := f.upstreams[up.ID]
 	j := m.judge(up)
+	if j.standing == Rejected {
+		return false, Disputed
+	}
 	if j.standing == Contested && !m.press(up, &j) {
 		m.defend(known, up)
 		return false, Disputed
 	}
-	if known == nil && len(f.upstreams) >= maxFleetUpstreams {
+	if known == nil && !m.makeRoom(up) {
 		return false, Full
 	}
 	if j.standing == Confirming {
 		// The sequence stays that of the last change: a copy with a high one must not
 		// make the upstream's next change look old.
-		f.settle(known)
+		m.settle(known)
 		return false, Accepted
 	}
 	m.place(known, up)
@@ -240,6 +250,7 @@
 	if old == nil {
 		old = &fleetEntry{}
 		f.upstreams[up.ID] = old
+		f.unlisted[up.ID] = old
 	} else {
 		if f.addresses[old.upstream.Address] == old {
 			delete(f.addresses, old.upstream.Address)
@@ -249,6 +260,9 @@
 		}
 	}
 	old.upstream = *up
+	if m.names(up.Service) {
+		delete(f.unlisted, up.ID)
+	}
 	old.displaced = false
 	old.defendedAt = 0
 	m.assignOrdinal(old, ordinal)
@@ -256,14 +270,16 @@
 		f.addresses[up.Address] = old
 	}
 	m.markChanged(old)
-	f.settle(old)
+	m.settle(old)
 }
 
 // markChanged marks an entry as changed by the current command.
 func (m *Machine) markChanged(e *fleetEntry) {
 	e.index = m.index
 	e.changedAt = m.now
-	m.fleet.index = m.index
+	if !m.fleet.isUnlisted(e) {
+		m.fleet.index = m.index
+	}
 	if e.upstream.Gone && !e.upstream.Expired && m.fleet.addresses[e.upstream.Address] == e {
 		delete(m.fleet.addresses, e.upstream.Address)
 	}
@@ -274,7 +290,7 @@
 // deleted goneRetention later.
 func (m *Machine) expireGone() {
 	f := &m.fleet
-	for id, e := range f.upstreams {
+	for _, e := range f.upstreams {
 		if !e.upstream.Gone || m.now-e.changedAt <= millis(goneRetention) {
 			continue
 		}
@@ -282,8 +298,10 @@
 			e.upstream.Expired = false // report it as permanently gone first
 			m.markChanged(e)
 		} else {
-			f.droppedIndex = max(f.droppedIndex, e.index)
-			delete(f.upstreams, id)
+			if !f.isUnlisted(e) {
+				f.droppedIndex = max(f.droppedIndex, e.index)
+			}
+			f.remove(e)
 		}
 	}
 }
--- a/core/agatestate/fleet_test.go
+++ b/core/agatestate/fleet_test.go
@@ -20,6 +20,8 @@
 type fleetModel struct {
 	upstreams map[string]agatestate.Upstream
 	displaced map[string]bool // processes whose address another one has taken
+	// claims holds the processes that have contradicted a member.
+	claims map[string]bool
 }
 
 // announce applies one announcement.
@@ -34,30 +36,49 @@
 			continue
 		}
 		if !other.Gone || other.StartedAtMs > up.StartedAtMs {
+			f.contest(up)
 			return
 		}
 		defer f.displace(id)
 	}
-	newer := up.StartedAtMs > old.StartedAtMs || (up.StartedAtMs == old.StartedAtMs && up.Sequence > old.Sequence)
+	sameProcess := up.StartedAtMs == old.StartedAtMs
+	newer := up.StartedAtMs > old.StartedAtMs || (sameProcess && up.Sequence > old.Sequence)
 	switch {
 	case !known:
+	case !old.Gone && sameProcess && up.Address == old.Address && up.Draining == old.Draining:
+		return // it confirms the state, and the sequence stays that of the last change
 	case !newer:
+		f.contest(up)
 		return
 	case f.displaced[up.ID]:
-	case old.Gone && !old.Expired && up.StartedAtMs == old.StartedAtMs:
+	case old.Gone && !old.Expired && sameProcess:
+		f.contest(up)
 		return
 	case old.Gone:
 	case up.Address != old.Address:
+		f.contest(up)
 		return
-	case up.StartedAtMs > old.StartedAtMs && up.Draining:
+	case !sameProcess && up.Draining:
+		// It seems to run in place of the member, which gets no new requests.
+		if f.contest(up) {
+			old.Draining = true
+			f.upstreams[up.ID] = old
+		}
 		return
-	case up.StartedAtMs == old.StartedAtMs && up.Draining == old.Draining:
-		return // it confirms the state, and the sequence stays that of the last change
 	}
 	f.upstreams[up.ID] = up
 	f.displaced[up.ID] = false
 }
 
+// contest records that a process contradicts a member, and reports whether it is the first
+// time.
+func (f *fleetModel) contest(up agatestate.Upstream) bool {
+	process := fmt.Sprint(up.ID, up.Address, up.StartedAtMs)
+	first := !f.claims[process]
+	f.claims[process] = true
+	return first
+}
+
 func (f *fleetModel) leave(old agatestate.Upstream, known bool, up agatestate.Upstream) {
 	if !known || (up.StartedAtMs != 0 && up.StartedAtMs < old.StartedAtMs) {
 		return
@@ -93,7 +114,7 @@
 func TestFleetAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := agatestate.New(agatestate.Config{})
-		model := &fleetModel{upstreams: map[string]agatestate.Upstream{}, displaced: map[string]bool{}}
+		model := &fleetModel{upstreams: map[string]agatestate.Upstream{}, displaced: map[string]bool{}, claims: map[string]bool{}}
 		host := map[string]string{} // the fleet of a host that applies deltas
 		since := uint64(0)
 		index := uint64(0)
--- a/core/agatestate/machine.go
+++ b/core/agatestate/machine.go
@@ -70,9 +70,10 @@
 	// UsesOrdinals reports whether a configuration document asks for ordinals of
 	// upstreams. All replicas must agree on it. Nil means that none does.
 	UsesOrdinals func(document []byte) bool
-	// NamesService reports whether a configuration document names a service. All
-	// replicas must agree on it. Nil means that none does.
-	NamesService func(document []byte, service string) bool
+	// Services returns a function that reports whether a configuration document names a
+	// service. It is called once for a document, which is empty before the first one.
+	// All replicas must agree on it. Nil means that every service is named.
+	Services func(document []byte) func(service string) bool
 	// Retention is how long an action record is kept after its last change.
 	// The default is 24 h.
 	Retention time.Duration
@@ -147,6 +148,8 @@
 	suspects suspects
 	fleet    fleet
 	ordinals bool // the configuration asks for ordinals of upstreams
+	// names reports whether the configuration names a service.
+	names func(service string) bool
 }
 
 // New returns an empty machine.
@@ -163,6 +166,7 @@
 	m.actions = newActions()
 	m.suspects = newSuspects()
 	m.fleet = newFleet()
+	m.readServices()
 }
 
 // Apply applies the command at a log index and returns its encoded Result. It
--- a/core/agatestate/member.go
+++ b/core/agatestate/member.go
@@ -47,6 +47,10 @@
 	// Contested means that the announcement contradicts a member, or a process that has
 	// ended. It changes nothing unless its sender goes on while the member is silent.
 	Contested
+	// Rejected means that the announcement contradicts what is kept, and is for a service
+	// that the configuration does not name: it changes nothing, however long its sender
+	// goes on.
+	Rejected
 )
 
 // judgement is the decision on one announcement.
@@ -93,7 +97,7 @@
 	}
 	var out []Upstream
 	for _, e := range m.fleet.upstreams {
-		if !e.upstream.Gone && m.fleet.claimed(e) {
+		if !e.upstream.Gone && m.claimed(e) {
 			out = append(out, m.withWarmupLeft(e))
 		}
 	}
@@ -107,7 +111,7 @@
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	j := m.judge(up)
-	return j.standing, j.reason, j.standing == Confirming && m.fleet.claimed(m.fleet.upstreams[up.ID])
+	return j.standing, j.reason, j.standing == Confirming && m.claimed(m.fleet.upstreams[up.ID])
 }
 
 // judge decides what an announcement that does not end its process may change.
@@ -116,29 +120,52 @@
 	var j judgement
 	known := f.upstreams[up.ID]
 	if owner := f.addresses[up.Address]; owner != nil && owner != known {
-		switch {
-		case !owner.upstream.Gone:
-			j.contest("address in use", owner)
-		case owner.upstream.StartedAtMs > up.StartedAtMs:
-			j.contest("address of a later process")
-		}
+		m.judgeAddress(&j, owner, up)
+	}
+	if known != nil {
+		m.judgeID(&j, known, up)
 	}
-	if known == nil || (known.displaced && up.newer(&known.upstream)) {
-		return j
+	if j.standing == Contested && !m.names(up.Service) {
+		j.standing = Rejected
 	}
+	return j
+}
+
+// judgeAddress decides on an announcement at the address of a process with another id.
+func (m *Machine) judgeAddress(j *judgement, owner *fleetEntry, up *Upstream) {
+	o := &owner.upstream
+	r, ofOwner := m.rankOfAnnouncement(up), m.rankOf(owner)
+	switch {
+	case r > ofOwner:
+		// The owner holds no place against it.
+	case !o.Gone, r < ofOwner:
+		j.contest("address in use", owner)
+	case o.StartedAtMs > up.StartedAtMs:
+		j.contest("address of a later process")
+	}
+}
+
+// judgeID decides on an announcement whose id is known.
+func (m *Machine) judgeID(j *judgement, known *fleetEntry, up *Upstream) {
 	k := &known.upstream
+	r, ofKnown := m.rankOfAnnouncement(up), m.rankOf(known)
 	switch {
+	case r > ofKnown:
+		// The process with its id holds no place against it.
+	case r < ofKnown:
+		j.contest("id in use", known)
+	case known.displaced && up.newer(k):
+		// It was there before the process that has taken its address.
 	case up.StartedAtMs == k.StartedAtMs:
-		m.judgeProcess(&j, known, up)
+		m.judgeProcess(j, known, up)
 	case up.StartedAtMs < k.StartedAtMs:
 		j.contest("id of a later process", known)
 	case k.Gone, k.samePlace(up) && !up.Draining:
 		// A restart after the end of the process, or in place.
 	default:
 		j.contest("id in use", known)
-		j.suspends = k.Address == up.Address && m.namesService(up.Service)
+		j.suspends = k.Address == up.Address && m.names(up.Service)
 	}
-	return j
 }
 
 // judgeProcess decides on an announcement of the process that is known by its id and
@@ -179,10 +206,6 @@
 	return cold.Abs() <= coldTolerance && (other.WarmupLeft == 0 || u.WarmupLeft > 0)
 }
 
-func (m *Machine) namesService(service string) bool {
-	return m.cfg.NamesService != nil && m.cfg.NamesService(m.config.current.Document, service)
-}
-
 // claimKey identifies the announcements of one sender that contradict a member.
 type claimKey struct {
 	ID          string
@@ -252,9 +275,13 @@
 	}
 }
 
-// settle ends the claims that a member contradicts by announcing itself.
-func (f *fleet) settle(e *fleetEntry) {
-	for _, c := range f.claims {
+// settle ends the claims that a member contradicts by announcing itself. One whose service
+// is not named contradicts none.
+func (m *Machine) settle(e *fleetEntry) {
+	if !m.names(e.upstream.Service) {
+		return
+	}
+	for _, c := range m.fleet.claims {
 		if c.against(e) {
 			c.since = 0
 		}
@@ -270,8 +297,11 @@
 }
 
 // claimed reports whether there is a claim that a member has not answered.
-func (f *fleet) claimed(e *fleetEntry) bool {
-	for _, c := range f.claims {
+func (m *Machine) claimed(e *fleetEntry) bool {
+	if e == nil || !m.names(e.upstream.Service) {
+		return false
+	}
+	for _, c := range m.fleet.claims {
 		if c.since != 0 && c.against(e) {
 			return true
 		}
@@ -280,7 +310,7 @@
 }
 
 func (c *claim) against(e *fleetEntry) bool {
-	return e != nil && (c.key.ID == e.upstream.ID || c.key.Address == e.upstream.Address)
+	return c.key.ID == e.upstream.ID || c.key.Address == e.upstream.Address
 }
 
 // expireClaims drops the claims whose sender has stopped.
--- a/core/agatestate/ordinal.go
+++ b/core/agatestate/ordinal.go
@@ -41,7 +41,7 @@
 // unless another upstream has it by now.
 func (m *Machine) assignOrdinal(e *fleetEntry, previous int) {
 	e.upstream.Ordinal = 0
-	if !m.ordinals || e.upstream.Gone {
+	if !m.ordinals || e.upstream.Gone || m.fleet.isUnlisted(e) {
 		return
 	}
 	used := map[int]bool{}
--- a/core/agatestate/script_test.go
+++ b/core/agatestate/script_test.go
@@ -27,9 +27,14 @@
 //	snapshot                        replace the machine by one restored from its snapshot
 //	suspects [since=INDEX] -> LIST  compare SuspectsSince
 //	fleet [since=INDEX] -> LIST     compare Fleet
+//	kept -> NUMBER                  compare the number of upstreams that are kept
 //	members -> LIST                 compare the upstreams that get requests, with address and service
 //
-// The configuration names all services but "unnamed".
+// "TIME flood id=PREFIX many=NUMBER key=value..." announces upstreams with different ids, and
+// with different addresses unless it names one. It has no result.
+//
+// A document lists the services that the configuration names, separated by commas. Without
+// one, it names all services but "unnamed".
 
 // args holds the key=value words of a script line.
 type args map[string]string
@@ -97,6 +102,23 @@
 	}
 }
 
+// flood returns announcements of many upstreams.
+func (a args) flood() (out []agatestate.Command) {
+	var ups []agatestate.Upstream
+	for i := range a.number("many", 1) {
+		up := a.upstream()
+		up.ID += strconv.Itoa(i)
+		if _, ok := a["addr"]; !ok {
+			up.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(1 + i>>16), byte(i >> 8), byte(i)}), 80)
+		}
+		ups = append(ups, up)
+	}
+	for chunk := range slices.Chunk(ups, agatestate.MaxUpstreams) {
+		out = append(out, agatestate.Command{Announce: &agatestate.Announce{Upstreams: chunk}})
+	}
+	return out
+}
+
 // command returns the command of a script line.
 func command(verb string, a args, index uint64) agatestate.Command {
 	service, key := a.or("service", "labels"), a.or("key", "k")
@@ -181,8 +203,17 @@
 	return agatestate.Config{
 		MaxRecords: a.number("records", 0), MaxBytes: a.number("bytes", 0), MaxAnswerBytes: a.number("answer", 0),
 		MaxChanges: a.number("changes", 0), MaxSuspects: a.number("suspects", 0),
-		NamesService: func(_ []byte, service string) bool { return service != "unnamed" },
+		Services: services,
+	}
+}
+
+// services reports which services a document names.
+func services(doc []byte) func(string) bool {
+	if len(doc) == 0 {
+		return func(service string) bool { return service != "unnamed" }
 	}
+	named := strings.Split(string(doc), ",")
+	return func(service string) bool { return slices.Contains(named, service) }
 }
 
 // Each script guards one group of rules of the state machine. Its comments
@@ -222,6 +253,10 @@
 			assert.Equal(t, suspects(m, parseArgs(words[1:])), strings.TrimSpace(want), at)
 			continue
 		}
+		if words[0] == "kept" {
+			assert.Equal(t, strconv.Itoa(len(m.Members())), strings.TrimSpace(want), at)
+			continue
+		}
 		if words[0] == "members" {
 			assert.Equal(t, members(m), strings.TrimSpace(want), at)
 			continue
@@ -230,9 +265,17 @@
 			assert.Equal(t, fleet(m, parseArgs(words[1:])), strings.TrimSpace(want), at)
 			continue
 		}
-		assert.Assert(t, checked, at)
 		now, err := time.ParseDuration(words[0])
 		assert.NilError(t, err, at)
+		if words[1] == "flood" {
+			for _, c := range parseArgs(words[2:]).flood() {
+				index++
+				c.Now = startMs + now.Milliseconds()
+				m.Apply(index, agatestate.Encode(c))
+			}
+			continue
+		}
+		assert.Assert(t, checked, at)
 		index++
 		c := command(words[1], parseArgs(words[2:]), index)
 		c.Now = startMs + now.Milliseconds()
@@ -286,7 +329,7 @@
 // members renders the upstreams that get requests as ID@ADDRESS/SERVICE words.
 func members(m *agatestate.Machine) string {
 	var out []string
-	for _, u := range m.Fleet(0).Upstreams {
+	for _, u := range m.Members() {
 		if !u.Gone && !u.Draining {
 			out = append(out, fmt.Sprintf("%s@%d/%s", u.ID, u.Address.Addr().As4()[3], u.Service))
 		}
--- a/core/agatestate/snapshot.go
+++ b/core/agatestate/snapshot.go
@@ -58,6 +58,7 @@
 		ChangedAt int64        `cbor:"3,keyasint"`
 		Displaced bool         `cbor:"4,keyasint,omitempty"`
 		Defended  int64        `cbor:"5,keyasint,omitempty"`
+		Unlisted  bool         `cbor:"6,keyasint,omitempty"`
 	}
 	snapClaim struct {
 		ID          string         `cbor:"1,keyasint"`
@@ -152,7 +153,7 @@
 		}
 	}
 	for _, e := range m.fleet.sortedByID() {
-		if err := enc.Encode(snapUpstream{wireUpstream(e.upstream), e.index, e.changedAt, e.displaced, e.defendedAt}); err != nil {
+		if err := enc.Encode(snapUpstream{wireUpstream(e.upstream), e.index, e.changedAt, e.displaced, e.defendedAt, m.fleet.isUnlisted(e)}); err != nil {
 			return err
 		}
 	}
@@ -240,6 +241,7 @@
 	m.actions = n.actions
 	m.suspects = n.suspects
 	m.fleet = n.fleet
+	m.readServices()
 	m.ordinals = m.usesOrdinals()
 	m.setLimits(n.limits())
 	return nil
@@ -329,6 +331,9 @@
 func (m *Machine) restoreUpstream(w snapUpstream) error {
 	e := &fleetEntry{Upstream(w.Upstream), w.Index, w.ChangedAt, w.Displaced, w.Defended}
 	m.fleet.upstreams[e.upstream.ID] = e
+	if w.Unlisted {
+		m.fleet.unlisted[e.upstream.ID] = e
+	}
 	if !e.upstream.Gone || e.upstream.Expired {
 		m.fleet.addresses[e.upstream.Address] = e
 	}
--- a/core/agatestate/writers_test.go
+++ b/core/agatestate/writers_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 
 const (
 	writersSeeds     = 200
+	unnamedSeeds     = 100
 	writersDuration  = 60 * time.Second
 	writersHeartbeat = 1500 * time.Millisecond
 	// A replica that has heard a process within writersVouch speaks for it; it learns of
@@ -24,6 +27,14 @@
 	// copied its id, address and start time: the delay of a claim, and the heartbeats
 	// before and after it.
 	writersReturn = 6 * time.Second
+	// writersDown is the time between the end of an upstream and its next start.
+	writersDown = 4 * time.Second
+	// writersExpiry is the time without a heartbeat after which a member expires.
+	writersExpiry = 7 * time.Second
+	// writersSettle is the time within which an upstream is in the fleet after it starts,
+	// or after a plan names its service: the delay of a claim to the address of the one
+	// that it replaces, and the heartbeats before and after it.
+	writersSettle = 4 * time.Second
 )
 
 // owner is an upstream that announces itself until the end of the test.
@@ -31,6 +42,8 @@
 	up       agatestate.Upstream
 	nextAt   time.Duration
 	copiedAt time.Duration // of the last announcement that copies its id and start time
+	// startsAt and endsAt are those of its present process.
+	startsAt, endsAt time.Duration
 }
 
 // writers plays upstreams and another writer against one machine.
@@ -43,6 +56,11 @@
 	owners []*owner
 	// heard are the times of the last acknowledged announcements, by id and start.
 	heard map[string]time.Duration
+	// plan lists the services of the configuration in force, namedAt the times at which
+	// they were added.
+	plan     []string
+	namedAt  map[string]time.Duration
+	revision uint64
 }
 
 func writersAddr(n int) netip.AddrPort {
@@ -52,7 +70,7 @@
 func newWriters(t *testing.T, seed uint64) *writers {
 	w := &writers{
 		t: t, heard: map[string]time.Duration{}, rng: rand.New(rand.NewPCG(seed, 1)),
-		m: agatestate.New(agatestate.Config{NamesService: func(_ []byte, s string) bool { return s != "unnamed" }}),
+		m: agatestate.New(agatestate.Config{Services: services}),
 	}
 	for i := range 6 {
 		w.owners = append(w.owners, &owner{copiedAt: -writersReturn, up: agatestate.Upstream{
@@ -64,10 +82,13 @@
 }
 
 func (w *writers) apply(up agatestate.Upstream) agatestate.Verdict {
+	return w.command(agatestate.Command{Announce: &agatestate.Announce{Upstreams: []agatestate.Upstream{up}}})
+}
+
+func (w *writers) command(c agatestate.Command) agatestate.Verdict {
 	w.index++
-	r, err := agatestate.DecodeResult(w.m.Apply(w.index, agatestate.Encode(agatestate.Command{
-		Now: startMs + w.now.Milliseconds(), Announce: &agatestate.Announce{Upstreams: []agatestate.Upstream{up}},
-	})))
+	c.Now = startMs + w.now.Milliseconds()
+	r, err := agatestate.DecodeResult(w.m.Apply(w.index, agatestate.Encode(c)))
 	assert.NilError(w.t, err)
 	return r.Verdict
 }
@@ -160,3 +181,110 @@
 		})
 	}
 }
+
+// configure puts a plan with some services into force.
+func (w *writers) configure(names ...string) {
+	v := w.command(agatestate.Command{Configure: &agatestate.Configure{
+		ChangeID: fmt.Sprint(w.revision), Base: w.revision, Document: []byte(strings.Join(names, ",")),
+	}})
+	assert.Equal(w.t, v, agatestate.Accepted)
+	w.revision++
+	for _, name := range names {
+		if !slices.Contains(w.plan, name) {
+			w.namedAt[name] = w.now
+		}
+	}
+	w.plan = names
+}
+
+// expire ends the members that were not heard for writersExpiry.
+func (w *writers) expire() {
+	for _, up := range w.m.Members() {
+		if !up.Gone && w.now-w.heard[fmt.Sprint(up.ID, up.StartedAtMs)] > writersExpiry {
+			w.apply(agatestate.Upstream{ID: up.ID, StartedAtMs: up.StartedAtMs, Gone: true, Expired: true})
+		}
+	}
+}
+
+// replace ends the processes of upstreams that are due, some of which deregister. After a
+// while each starts again under its id or another one.
+func (w *writers) replace() {
+	for _, o := range w.owners {
+		if w.now < o.endsAt {
+			continue
+		}
+		if w.rng.IntN(3) == 0 {
+			w.apply(agatestate.Upstream{ID: o.up.ID, StartedAtMs: o.up.StartedAtMs, Gone: true})
+		}
+		o.startsAt = w.now + writersDown
+		o.endsAt = o.startsAt + 10*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
+		o.nextAt = o.startsAt
+		o.up.StartedAtMs, o.up.Sequence = startMs+o.startsAt.Milliseconds(), 0
+		if w.rng.IntN(2) == 0 {
+			o.up.ID += "'"
+		}
+	}
+}
+
+// forgeUnnamed announces a service that no plan names, with any id, address, start and
+// sequence.
+func (w *writers) forgeUnnamed() {
+	up := w.owners[w.rng.IntN(len(w.owners))].up
+	up.Service = []string{"unnamed", "other"}[w.rng.IntN(2)]
+	up.Draining = w.rng.IntN(4) == 0
+	if w.rng.IntN(2) == 0 {
+		up.ID = fmt.Sprint("x", w.rng.IntN(20))
+	}
+	if w.rng.IntN(3) == 0 {
+		up.Address = writersAddr(w.rng.IntN(8))
+	}
+	up.Sequence += uint64(w.now / time.Millisecond)
+	up.StartedAtMs = []int64{0, 7, up.StartedAtMs, startMs + 1e6, startMs + w.now.Milliseconds()}[w.rng.IntN(5)]
+	w.announce(up)
+}
+
+// due reports whether an upstream must be in the fleet by now.
+func (w *writers) due(o *owner) bool {
+	since := max(o.startsAt, w.namedAt[o.up.Service])
+	return slices.Contains(w.plan, o.up.Service) && w.now < o.endsAt && w.now-since > writersSettle
+}
+
+// Guards against an upstream that announcements for services of no plan keep out of the
+// fleet while it starts, restarts or is replaced, or while plans drop and name its service.
+func TestUnnamedWriters(t *testing.T) {
+	for seed := range uint64(unnamedSeeds) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			w := newWriters(t, seed)
+			w.namedAt = map[string]time.Duration{}
+			w.m = agatestate.New(agatestate.Config{Services: func(doc []byte) func(string) bool {
+				return func(s string) bool { return slices.Contains(strings.Split(string(doc), ","), s) }
+			}})
+			for _, o := range w.owners {
+				o.startsAt = time.Duration(w.rng.Int64N(int64(10 * time.Second)))
+				o.endsAt = o.startsAt + 10*time.Second
+				o.nextAt = o.startsAt
+			}
+			firstPlan := time.Duration(w.rng.IntN(3)) * time.Second
+			for ; w.now < writersDuration; w.now += 50 * time.Millisecond {
+				if w.now >= firstPlan && (w.now-firstPlan)%(7*time.Second) == 0 {
+					w.configure([][]string{{"labels", "quotes"}, {"labels"}}[w.rng.IntN(2)]...)
+				}
+				w.replace()
+				w.beat()
+				if w.now%writersVouchInterval == 0 {
+					w.vouch()
+				}
+				if w.now%time.Second == 0 {
+					w.expire()
+				}
+				w.forgeUnnamed()
+				for _, o := range w.owners {
+					assert.Assert(t, !w.due(o) || w.holds(o), "%v: %+v is out of the fleet", w.now, o.up)
+				}
+				for _, up := range w.m.Fleet(0).Upstreams {
+					assert.Assert(t, up.Service == "labels" || up.Service == "quotes", "hosts are told of %+v", up)
+				}
+			}
+		})
+	}
+}
--- a/io/agatecli/fleet.go
+++ b/io/agatecli/fleet.go
@@ -62,6 +62,8 @@
 		return "silent"
 	case u.Deregistered:
 		return "left"
+	case u.Unnamed:
+		return "not in the plan"
 	case u.Draining:
 		return "draining"
 	case u.WarmupLeft > 0:
--- a/io/agatecontrol/control.go
+++ b/io/agatecontrol/control.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
 	"agategate/core/agateheal"
@@ -131,9 +132,11 @@
 	healer         *agateheal.Healer
 	contacts       contactTimes
 	refusals       refusals
-	clock          stateTime
-	applied        appliedTimes
-	grantState     grantState
+	// unnamed bounds the changes of upstreams whose service the plan does not name.
+	unnamed    *rate.Limiter
+	clock      stateTime
+	applied    appliedTimes
+	grantState grantState
 	// hasLeader is whether the replica knew a leader at the last check.
 	hasLeader atomic.Bool
 	// leaderless is used only by the task that reports that no leader is known.
@@ -186,6 +189,7 @@
 		decoding:        make(chan struct{}, 1),
 		claimed:         make(chan struct{}, 1),
 		failed:          make(chan struct{}),
+		unnamed:         rate.NewLimiter(unnamedRate, unnamedBurst),
 	}
 	healConfig := agateheal.Config{}
 	if cfg.Heal {
@@ -207,7 +211,7 @@
 	}
 	c.store = store
 	c.id = saved.Identity
-	c.machine = agatestate.New(agatestate.Config{UsesOrdinals: agateplan.UsesOrdinals, NamesService: agateplan.NamesService})
+	c.machine = agatestate.New(agatestate.Config{UsesOrdinals: agateplan.UsesOrdinals, Services: agateplan.NamedServices})
 	c.dialer = agatelink.NewDialer(agatelink.Config{TLS: cfg.ClientTLS, Dial: cfg.Dial})
 	c.sender = agatelink.NewSender(agatelink.SenderConfig{Dialer: c.dialer, QueueBytes: cfg.Settings.Limit.LogBytes()})
 	c.fresh.Store(saved.Fresh)
--- a/io/agatecontrol/fleet.go
+++ b/io/agatecontrol/fleet.go
@@ -19,8 +19,17 @@
 	// leader, and one report of contacts. It is below the second after which
 	// clients of the control hosts try another one.
 	commitTimeout = 800 * time.Millisecond
+	// unnamedRate and unnamedBurst bound the changes a second, and at once, that a
+	// replica proposes for upstreams whose service the plan in force does not name, so
+	// that they do not delay the changes of others. A plan that names the service lifts
+	// the bound.
+	unnamedRate  = 50
+	unnamedBurst = 200
 )
 
+// errUnnamedRate is returned for a change above unnamedRate.
+var errUnnamedRate = errors.New("agatecontrol: too many changes of upstreams whose service no plan names")
+
 // ErrDisputed is wrapped when an announcement contradicts a member of the fleet, or a
 // process that has deregistered. It has no effect, unless its sender goes on while that
 // member is silent.
@@ -66,35 +75,66 @@
 // After an error the upstream must announce itself again, here or at another replica;
 // one that wraps ErrDisputed says that the announcement contradicts the fleet.
 func (c *Control) Announce(ctx context.Context, writer netip.Addr, up agatestate.Upstream) error {
-	if !up.Gone {
-		standing, _, settles := c.machine.Judge(&up)
-		if standing != agatestate.Contested {
-			c.contacts.recordLocal(up.ID, up.StartedAtMs, time.Now())
-		}
-		if standing == agatestate.Confirming && !settles {
-			if _, hasLeader := c.Leader(); !hasLeader {
-				return errNoLeader
-			}
+	known, ok := c.machine.Upstream(up.ID)
+	service := up.Service
+	if up.Gone {
+		if ok && !canLeave(&known) {
 			return nil
 		}
-	} else if known, ok := c.machine.Upstream(up.ID); ok && !canLeave(&known) {
-		return nil
+		service = known.Service
+	} else if done, err := c.answerLocally(writer, &up, ok); done {
+		return err
+	}
+	if !c.mayPropose(service) {
+		c.RefuseAnnouncement(writer, up.ID, "too many for unnamed services", errUnnamedRate)
+		return errUnnamedRate
 	}
 	res, err := c.commit(ctx, agatestate.Command{Announce: &agatestate.Announce{Upstreams: []agatestate.Upstream{up}}})
 	switch {
 	case err == nil && res.Verdict == agatestate.Disputed:
 		_, reason, _ := c.machine.Judge(&up)
-		err = fmt.Errorf("%w: %s", ErrDisputed, reason)
-		c.RefuseAnnouncement(writer, up.ID, reason, err)
-		return err
+		return c.dispute(writer, &up, reason)
 	case err == nil && res.Verdict != agatestate.Accepted:
 		err = fmt.Errorf("agatecontrol: announcement: %s", res.Verdict)
+	case err == nil && !up.Gone:
+		c.contacts.recordLocal(up.ID, up.StartedAtMs, time.Now())
 	}
 	c.log.Info("upstream announced", "kind", "announce", "choice", up.ID, "service", up.Service, "address", up.Address,
 		"draining", up.Draining, "gone", up.Gone, "cold", up.WarmupLeft, "seq", up.Sequence, "changed", res.Count, "error", err)
 	return err
 }
 
+// answerLocally answers an announcement that changes nothing, and reports whether it did.
+// Nothing is stored for it. member is set if the id is known.
+func (c *Control) answerLocally(writer netip.Addr, up *agatestate.Upstream, member bool) (done bool, err error) {
+	standing, reason, settles := c.machine.Judge(up)
+	if member && (standing == agatestate.Changing || standing == agatestate.Confirming) {
+		c.contacts.recordLocal(up.ID, up.StartedAtMs, time.Now())
+	}
+	if standing != agatestate.Rejected && (standing != agatestate.Confirming || settles) {
+		return false, nil
+	}
+	if _, hasLeader := c.Leader(); !hasLeader {
+		return true, errNoLeader
+	}
+	if standing == agatestate.Rejected {
+		return true, c.dispute(writer, up, reason)
+	}
+	return true, nil
+}
+
+// mayPropose reports whether a change of an upstream of a service may be proposed now.
+func (c *Control) mayPropose(service string) bool {
+	return c.machine.Names(service) || c.machine.Config().Revision == 0 || c.unnamed.Allow()
+}
+
+// dispute logs that an announcement contradicts the fleet, and returns the error.
+func (c *Control) dispute(writer netip.Addr, up *agatestate.Upstream, reason string) error {
+	err := fmt.Errorf("%w: %s", ErrDisputed, reason)
+	c.RefuseAnnouncement(writer, up.ID, reason, err)
+	return err
+}
+
 // canLeave reports whether a deregistration changes the state of an upstream. One that has
 // expired may still deregister, so that hosts do not go on to use it.
 func canLeave(known *agatestate.Upstream) bool { return !known.Gone || known.Expired }
--- a/io/agatecontrol/planops.go
+++ b/io/agatecontrol/planops.go
@@ -79,10 +79,9 @@
 	if doc, err := cur.plan(); err == nil {
 		out.Version = doc.Plan.Version
 	}
-	d := c.machine.Fleet(0)
-	out.Evacuated = d.Evacuated
-	for i := range d.Upstreams {
-		out.Upstreams = append(out.Upstreams, fleetUpstream(&d.Upstreams[i]))
+	out.Evacuated = c.machine.Evacuated()
+	for _, m := range c.machine.Members() {
+		out.Upstreams = append(out.Upstreams, fleetUpstream(&m))
 	}
 	slices.SortFunc(out.Upstreams, func(a, b agateops.FleetUpstream) int {
 		if n := strings.Compare(a.Service, b.Service); n != 0 {
@@ -99,7 +98,7 @@
 	return out
 }
 
-func fleetUpstream(u *agatestate.Upstream) agateops.FleetUpstream {
+func fleetUpstream(u *agatestate.Member) agateops.FleetUpstream {
 	out := agateops.FleetUpstream{
 		ID:           u.ID,
 		Service:      u.Service,
@@ -108,6 +107,7 @@
 		Draining:     u.Draining,
 		Deregistered: u.Gone,
 		Expired:      u.Expired,
+		Unnamed:      !u.Named,
 		WarmupLeft:   u.WarmupLeft,
 	}
 	if u.Address.IsValid() {
@@ -137,14 +137,11 @@
 }
 
 func (c *Control) knownDomain(domain string) bool {
-	d := c.machine.Fleet(0)
-	if slices.Contains(d.Evacuated, domain) {
+	if slices.Contains(c.machine.Evacuated(), domain) {
 		return true
 	}
-	for i := range d.Upstreams {
-		if d.Upstreams[i].Domain == domain {
-			return true
-		}
+	if slices.ContainsFunc(c.machine.Members(), func(m agatestate.Member) bool { return m.Domain == domain }) {
+		return true
 	}
 	for _, h := range c.presence.all(time.Now()) {
 		if h.domain == domain {
--- a/io/agateops/fleet.go
+++ b/io/agateops/fleet.go
@@ -36,9 +36,10 @@
 	Address      string        `json:"address"`
 	Slots        int           `json:"slots"`
 	Draining     bool          `json:"draining"`
-	Deregistered bool          `json:"gone"`   // also set if Expired
-	Expired      bool          `json:"lapsed"` // no heartbeat for agatecontrol's upstreamTimeout
-	WarmupLeft   time.Duration `json:"cold"`   // remaining warm-up time
+	Deregistered bool          `json:"gone"`    // also set if Expired
+	Expired      bool          `json:"lapsed"`  // no heartbeat for agatecontrol's upstreamTimeout
+	Unnamed      bool          `json:"unnamed"` // no service of the plan: it is not used, and yields its place
+	WarmupLeft   time.Duration `json:"cold"`    // remaining warm-up time
 }
 
 // FleetHost is an entry host with an open watch stream to the replica that answers.
