agatecontrol: silent upstreams of services that no plan names do not keep others from expiring

Upstreams that had ended stayed in the fleet, and entry hosts went on to try them.

Cause: no upstream expires unless half of all have sent a heartbeat of late, which guards against a fault of the control group. Another writer with as many ids as there are upstreams, which then stops, took that half away for good. A record of contacts that was full was cleared as well, so that upstreams between two heartbeats expired.

Change: only upstreams of services that the plan names count for the half. Only members are recorded, up to twice as many as there may be, and old records are deleted.

TestManyUnnamedUpstreams fails before: of 65,536 members the silent one of the two that are named does not expire.

--- a/io/agatecontrol/contacts.go
+++ b/io/agatecontrol/contacts.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,9 +27,12 @@
 	// upstream. It is longer than a heartbeat interval and its jitter, and not longer
 	// than the time after which an address may pass to another upstream.
 	vouchWindow = 2 * time.Second
-	// maxContacts bounds the number of recorded upstreams. The record is cleared
-	// when it is full.
-	maxContacts = 65536
+	// contactRetention is how long a contact is recorded. It is longer than
+	// upstreamTimeout, after which nobody needs it.
+	contactRetention = 2 * upstreamTimeout
+	// maxContacts bounds the number of recorded upstreams. Only members are recorded;
+	// half of it is room for those that have left and are not deleted yet.
+	maxContacts = 2 * agatestate.MaxMembers
 )
 
 // contactTimes records when any replica last received a heartbeat of each
@@ -35,8 +40,8 @@
 type contactTimes struct {
 	mu          sync.Mutex
 	lastContact map[string]time.Time
-	// lastLocal holds the contacts of this replica only, by process.
-	lastLocal  map[process]time.Time
+	// lastLocal holds the contacts of this replica only.
+	lastLocal  map[string]localContact
 	unreported map[string]bool // received here since the last report to the leader
 	// registered holds the upstreams that the last call of expired was given.
 	registered map[string]bool
@@ -44,10 +49,10 @@
 	termSince  time.Time // time of the first check in this term
 }
 
-// process identifies one process of an upstream.
-type process struct {
-	id          string
+// localContact is the last heartbeat of an upstream that this replica received.
+type localContact struct {
 	startedAtMs int64
+	at          time.Time
 }
 
 // recordLocal records a heartbeat of a process that was received by this replica.
@@ -55,10 +60,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.set(id, now)
-	if h.lastLocal == nil || len(h.lastLocal) >= maxContacts {
-		h.lastLocal = make(map[process]time.Time)
+	if h.lastLocal == nil {
+		h.lastLocal = make(map[string]localContact)
+	}
+	if _, known := h.lastLocal[id]; known || len(h.lastLocal) < maxContacts {
+		h.lastLocal[id] = localContact{startedAtMs, now}
 	}
-	h.lastLocal[process{id, startedAtMs}] = now
 	if h.unreported == nil {
 		h.unreported = make(map[string]bool)
 	}
@@ -70,8 +77,8 @@
 func (h *contactTimes) heardLocally(id string, startedAtMs int64, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	last, ok := h.lastLocal[process{id, startedAtMs}]
-	return ok && now.Sub(last) <= vouchWindow
+	last, ok := h.lastLocal[id]
+	return ok && last.startedAtMs == startedAtMs && now.Sub(last.at) <= vouchWindow
 }
 
 // recordRemote records heartbeats received by another replica.
@@ -84,17 +91,21 @@
 }
 
 func (h *contactTimes) set(id string, now time.Time) {
-	if h.lastContact == nil || len(h.lastContact) >= maxContacts {
+	if h.lastContact == nil {
 		h.lastContact = make(map[string]time.Time)
 	}
-	h.lastContact[id] = now
+	if _, known := h.lastContact[id]; known || len(h.lastContact) < maxContacts {
+		h.lastContact[id] = now
+	}
 }
 
 // takeUnreported returns the upstreams whose heartbeats this replica received
-// since the last call.
-func (h *contactTimes) takeUnreported() []string {
+// since the last call. It deletes the records of those that have expired.
+func (h *contactTimes) takeUnreported(now time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	maps.DeleteFunc(h.lastContact, func(_ string, at time.Time) bool { return now.Sub(at) > contactRetention })
+	maps.DeleteFunc(h.lastLocal, func(_ string, l localContact) bool { return now.Sub(l.at) > contactRetention })
 	out := make([]string, 0, len(h.unreported))
 	for id := range h.unreported {
 		out = append(out, id)
@@ -107,7 +118,10 @@
 // leader waits that long before it expires any. An upstream that is new or back
 // counts as just contacted, since the replica that received its heartbeat may
 // not have reported it yet.
-func (h *contactTimes) expired(now time.Time, term uint64, ups []agatestate.Upstream) []agatestate.Upstream {
+//
+// Only upstreams of services that the configuration names count towards minAliveShare:
+// those of others, which may be many, neither keep them nor let them expire.
+func (h *contactTimes) expired(now time.Time, term uint64, ups []agatestate.Member) []agatestate.Member {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.term != term {
@@ -124,19 +138,22 @@
 	if now.Sub(h.termSince) < upstreamTimeout {
 		return nil
 	}
-	var out []agatestate.Upstream
-	alive := 0
+	var out []agatestate.Member
+	named, alive := 0, 0
 	for _, up := range ups {
 		elapsed := now.Sub(h.lastContact[up.ID])
-		if elapsed <= aliveWindow {
+		if up.Named {
+			named++
+		}
+		if up.Named && elapsed <= aliveWindow {
 			alive++
 		}
 		if elapsed > upstreamTimeout {
 			out = append(out, up)
 		}
 	}
-	if float64(alive) < minAliveShare*float64(len(ups)) {
-		return nil
+	if float64(alive) < minAliveShare*float64(named) {
+		return slices.DeleteFunc(out, func(up agatestate.Member) bool { return up.Named })
 	}
 	return out
 }
@@ -146,12 +163,12 @@
 // them for upstreamTimeout.
 func (c *Control) checkUpstreams(ctx context.Context) {
 	if !c.isLeader() {
-		c.reportContacts(ctx, c.contacts.takeUnreported())
+		c.reportContacts(ctx, c.contacts.takeUnreported(time.Now()))
 		return
 	}
-	c.contacts.takeUnreported() // the leader reports to nobody
-	var live []agatestate.Upstream
-	for _, up := range c.machine.Fleet(0).Upstreams {
+	c.contacts.takeUnreported(time.Now()) // the leader reports to nobody
+	var live []agatestate.Member
+	for _, up := range c.machine.Members() {
 		if !up.Gone {
 			live = append(live, up)
 		}
--- a/io/agatecontrol/contacts_test.go
+++ b/io/agatecontrol/contacts_test.go
@@ -1,6 +1,7 @@
 package agatecontrol
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,14 +18,17 @@
 	var h contactTimes
 	now := time.Unix(1000, 0)
 	const term = 3
-	old := []agatestate.Upstream{{ID: "u1"}, {ID: "u2"}}
+	member := func(id string) agatestate.Member {
+		return agatestate.Member{Upstream: agatestate.Upstream{ID: id}, Named: true}
+	}
+	old := []agatestate.Member{member("u1"), member("u2")}
 	report := func(ids ...string) { h.recordRemote(ids, now) }
 	for range 20 {
 		report("u1", "u2")
 		assert.Equal(t, len(h.expired(now, term, old)), 0)
 		now = now.Add(upstreamCheckInterval)
 	}
-	withNew := append(old, agatestate.Upstream{ID: "u3"})
+	withNew := append(old, member("u3"))
 	report("u1", "u2")
 	assert.Equal(t, len(h.expired(now, term, withNew)), 0, "no replica has reported it yet")
 	for now = now.Add(upstreamCheckInterval); ; now = now.Add(upstreamCheckInterval) {
@@ -51,3 +55,32 @@
 	gone := &agatestate.Upstream{ID: "u1", StartedAtMs: 5, Sequence: 9, Gone: true}
 	assert.Assert(t, !canLeave(gone))
 }
+
+// Guards against upstreams that never expire because many others, of services that no plan
+// names, have fallen silent, and against ones that expire because so many are recorded.
+func TestManyUnnamedUpstreams(t *testing.T) {
+	var h contactTimes
+	now := time.Unix(1000, 0)
+	const term = 3
+	members := []agatestate.Member{
+		{Upstream: agatestate.Upstream{ID: "live"}, Named: true}, {Upstream: agatestate.Upstream{ID: "silent"}, Named: true},
+	}
+	for i := range agatestate.MaxMembers - 2 {
+		id := fmt.Sprint("x", i)
+		h.recordLocal(id, 1, now)
+		members = append(members, agatestate.Member{Upstream: agatestate.Upstream{ID: id}})
+	}
+	named := map[string]bool{}
+	for range 20 {
+		h.takeUnreported(now)
+		h.recordLocal("live", 1, now)
+		for _, up := range h.expired(now, term, members) {
+			if up.Named {
+				named[up.ID] = true
+			}
+		}
+		now = now.Add(upstreamCheckInterval)
+	}
+	assert.DeepEqual(t, named, map[string]bool{"silent": true})
+	assert.Assert(t, h.heardLocally("live", 1, now))
+}
