--- a/io/agatecli/process.go
+++ b/io/agatecli/process.go
@@ -1,17 +1,18 @@
 package agatecli
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
-	"runtime/debug"
 	"strings"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"agategate/internal/agatebuild"
 	"agategate/io/agatelog"
 	"agategate/io/agatesettings"
 )
@@ -150,21 +151,8 @@
 }
 
 func versionOf(version string) versionOutput {
-	v := versionOutput{Version: version}
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return v
-	}
-	v.Go = info.GoVersion
-	if v.Version == "" {
-		v.Version = info.Main.Version
-	}
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			v.Commit = s.Value
-		}
-	}
-	return v
+	b := agatebuild.Read()
+	return versionOutput{Version: cmp.Or(version, b.Version), Commit: b.Commit, Go: b.Go}
 }
 
 func jsonFlag(fs *flag.FlagSet) *bool { return fs.Bool("json", false, "print JSON for tools") }
--- a/io/agaterun/run.go
+++ b/io/agaterun/run.go
@@ -12,10 +12,12 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"runtime"
 	"sync/atomic"
 	"time"
 
 	"agategate/internal/agatebuffer"
+	"agategate/internal/agatebuild"
 	"agategate/io/agatecli"
 	"agategate/io/agatecontrol"
 	"agategate/io/agatedemo"
@@ -55,6 +57,7 @@
 		RingSize:  s.Ring,
 	})
 	r.log.Store(log)
+	log.Logger().Info("process starts", "kind", "start", "build", agatebuild.Read(), "arch", runtime.GOARCH)
 	return log
 }
 
