agatestate: applying an announcement looks at the upstreams that have gone, not at all

Found beside the case of many announcements for services that no plan names: each announcement looked through all upstreams for those to delete, so that many of another writer slowed the others.

Nothing that callers saw.

--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -102,6 +102,7 @@
 	upstreams    map[string]*fleetEntry
 	addresses    map[netip.AddrPort]*fleetEntry // those that are not Gone, and the Expired ones
 	unlisted     map[string]*fleetEntry         // those of which hosts are not told
+	gone         map[string]*fleetEntry         // those that are Gone
 	evacuated    []string                       // sorted
 	claims       map[claimKey]*claim
 	index        uint64 // of the last change
@@ -111,7 +112,7 @@
 func newFleet() fleet {
 	return fleet{
 		upstreams: map[string]*fleetEntry{}, addresses: map[netip.AddrPort]*fleetEntry{},
-		unlisted: map[string]*fleetEntry{}, claims: map[claimKey]*claim{},
+		unlisted: map[string]*fleetEntry{}, gone: map[string]*fleetEntry{}, claims: map[claimKey]*claim{},
 	}
 }
 
@@ -280,18 +281,28 @@
 	if !m.fleet.isUnlisted(e) {
 		m.fleet.index = m.index
 	}
+	m.fleet.recordGone(e)
 	if e.upstream.Gone && !e.upstream.Expired && m.fleet.addresses[e.upstream.Address] == e {
 		delete(m.fleet.addresses, e.upstream.Address)
 	}
 }
 
+// recordGone keeps the set of the upstreams that are Gone.
+func (f *fleet) recordGone(e *fleetEntry) {
+	if e.upstream.Gone {
+		f.gone[e.upstream.ID] = e
+	} else {
+		delete(f.gone, e.upstream.ID)
+	}
+}
+
 // expireGone deletes upstreams that became permanently gone more than goneRetention
 // ago. An upstream that expired that long ago is marked as permanently gone, and is
 // deleted goneRetention later.
 func (m *Machine) expireGone() {
 	f := &m.fleet
-	for _, e := range f.upstreams {
-		if !e.upstream.Gone || m.now-e.changedAt <= millis(goneRetention) {
+	for _, e := range f.gone {
+		if m.now-e.changedAt <= millis(goneRetention) {
 			continue
 		}
 		if e.upstream.Expired {
--- a/core/agatestate/snapshot.go
+++ b/core/agatestate/snapshot.go
@@ -331,6 +331,7 @@
 func (m *Machine) restoreUpstream(w snapUpstream) error {
 	e := &fleetEntry{Upstream(w.Upstream), w.Index, w.ChangedAt, w.Displaced, w.Defended}
 	m.fleet.upstreams[e.upstream.ID] = e
+	m.fleet.recordGone(e)
 	if w.Unlisted {
 		m.fleet.unlisted[e.upstream.ID] = e
 	}
--- a/core/agatestate/unlisted.go
+++ b/core/agatestate/unlisted.go
@@ -146,6 +146,7 @@
 	}
 	delete(f.upstreams, e.upstream.ID)
 	delete(f.unlisted, e.upstream.ID)
+	delete(f.gone, e.upstream.ID)
 }
 
 // sortedUnlisted returns the unlisted upstreams in the order of their last change.
