--- a/io/agatecli/cli_test.go
+++ b/io/agatecli/cli_test.go
@@ -123,6 +123,7 @@
 		Upstreams: []agateops.FleetUpstream{
 			{ID: "u1", Service: "stock", Domain: "centro-a", Address: "127.0.5.1:80", Slots: 4, WarmupLeft: 2 * time.Second},
 			{ID: "u2", Service: "stock", Domain: "centro-a", Address: "127.0.5.2:80", Slots: 4, Deregistered: true, Expired: true},
+			{ID: "u3", Service: "other", Domain: "centro-a", Address: "127.0.5.3:80", Slots: 4, Draining: true, Unnamed: true},
 		},
 		Hosts: []agateops.FleetHost{{Name: "entry-1", Region: "centro", Domain: "centro-a", CallerAddr: "127.0.1.1:80", Ready: true}},
 	}}
