agatestate: a process that deregisters while it is contested stays out

Cause, from the logs of the control hosts: the upstream had come to the address of one that had ended without a word, so its announcements got 409 (address in use) at 21.28, 21.49 and 21.68 s. At 21.97 s it deregistered; nobody knew its id, so that was acknowledged (changed=0) without effect. By 24.82 s its predecessor had expired, and a heartbeat that it sent while it served its last requests made it a member.

One of a later start than the member's, which was contested, ends that process as well. A deregistration lets the delays of claims to its id begin anew.

Seen to fail before: the four sections of testdata/departed.txt.

--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -223,21 +223,48 @@
 // the state changed.
 func (m *Machine) endProcess(up *Upstream) bool {
 	old := m.fleet.upstreams[up.ID]
-	if old == nil || (up.StartedAtMs != 0 && up.StartedAtMs < old.upstream.StartedAtMs) {
+	if old == nil {
+		m.rememberEnded(up)
+		return false
+	}
+	if up.StartedAtMs != 0 && up.StartedAtMs < old.upstream.StartedAtMs {
 		return false
 	}
+	later := !up.Expired && up.StartedAtMs > old.upstream.StartedAtMs
 	if !up.Expired {
 		old.displaced = false // by its own word it does not come back
+		m.fleet.restartClaims(up.ID)
 	}
-	if old.upstream.Gone && (!old.upstream.Expired || up.Expired) {
+	if old.upstream.Gone && (!old.upstream.Expired || up.Expired) && !later {
 		return false
 	}
+	if later { // a process that was contested
+		old.upstream.StartedAtMs = up.StartedAtMs
+	}
 	old.upstream.Gone = true
 	old.upstream.Expired = up.Expired
 	m.markChanged(old)
 	return true
 }
 
+// rememberEnded keeps the id of a process that deregistered before it was a member, so that
+// an announcement that was held up, or was contested until then, does not add it.
+func (m *Machine) rememberEnded(up *Upstream) {
+	f := &m.fleet
+	if up.Expired {
+		return
+	}
+	f.restartClaims(up.ID)
+	f.trimUnlisted(maxUnlisted - 1)
+	if len(f.upstreams) >= MaxMembers {
+		return
+	}
+	e := &fleetEntry{upstream: Upstream{ID: up.ID, StartedAtMs: up.StartedAtMs, Gone: true}}
+	f.upstreams[up.ID] = e
+	f.unlisted[up.ID] = e
+	m.markChanged(e)
+}
+
 // place puts an upstream at its address, in place of the process that is there.
 func (m *Machine) place(old *fleetEntry, up *Upstream) {
 	f := &m.fleet
--- a/core/agatestate/fleet_test.go
+++ b/core/agatestate/fleet_test.go
@@ -20,6 +20,8 @@
 type fleetModel struct {
 	upstreams map[string]agatestate.Upstream
 	displaced map[string]bool // processes whose address another one has taken
+	// ended holds the start times of processes that deregistered and were never members.
+	ended map[string]int64
 	// claims holds the processes that have contradicted a member.
 	claims map[string]bool
 }
@@ -41,6 +43,11 @@
 		}
 		defer f.displace(id)
 	}
+	if start, ended := f.ended[up.ID]; ended && up.StartedAtMs <= start {
+		f.contest(up)
+		return
+	}
+	delete(f.ended, up.ID)
 	sameProcess := up.StartedAtMs == old.StartedAtMs
 	newer := up.StartedAtMs > old.StartedAtMs || (sameProcess && up.Sequence > old.Sequence)
 	switch {
@@ -80,13 +87,23 @@
 }
 
 func (f *fleetModel) leave(old agatestate.Upstream, known bool, up agatestate.Upstream) {
+	if start, ended := f.ended[up.ID]; !known && !up.Expired {
+		if !ended || up.StartedAtMs == 0 || up.StartedAtMs >= start {
+			f.ended[up.ID] = max(start, up.StartedAtMs)
+		}
+		return
+	}
 	if !known || (up.StartedAtMs != 0 && up.StartedAtMs < old.StartedAtMs) {
 		return
 	}
 	if !up.Expired {
 		f.displaced[up.ID] = false
 	}
-	if !old.Gone || (old.Expired && !up.Expired) { // an expired upstream may still deregister
+	later := !up.Expired && up.StartedAtMs > old.StartedAtMs
+	if later { // a process of which no announcement was believed
+		old.StartedAtMs = up.StartedAtMs
+	}
+	if !old.Gone || later || (old.Expired && !up.Expired) { // an expired upstream may still deregister
 		old.Gone, old.Expired = true, up.Expired
 		f.upstreams[up.ID] = old
 	}
@@ -114,7 +131,7 @@
 func TestFleetAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := agatestate.New(agatestate.Config{})
-		model := &fleetModel{upstreams: map[string]agatestate.Upstream{}, displaced: map[string]bool{}, claims: map[string]bool{}}
+		model := &fleetModel{upstreams: map[string]agatestate.Upstream{}, displaced: map[string]bool{}, claims: map[string]bool{}, ended: map[string]int64{}}
 		host := map[string]string{} // the fleet of a host that applies deltas
 		since := uint64(0)
 		index := uint64(0)
--- a/core/agatestate/member.go
+++ b/core/agatestate/member.go
@@ -150,6 +150,8 @@
 	k := &known.upstream
 	r, ofKnown := m.rankOfAnnouncement(up), m.rankOf(known)
 	switch {
+	case k.Service == "":
+		judgeEnded(j, known, up)
 	case r > ofKnown:
 		// The process with its id holds no place against it.
 	case r < ofKnown:
@@ -168,6 +170,20 @@
 	}
 }
 
+// judgeEnded decides on an announcement whose id is known only by a deregistration. One
+// that does not tell its start time is of any process without one.
+func judgeEnded(j *judgement, ended *fleetEntry, up *Upstream) {
+	switch start := ended.upstream.StartedAtMs; {
+	case up.StartedAtMs > start:
+		// A later process.
+	case up.StartedAtMs < start:
+		j.contest("id of a later process", ended)
+	default:
+		j.contest("deregistered")
+		j.delay = rejoinDelay
+	}
+}
+
 // judgeProcess decides on an announcement of the process that is known by its id and
 // start time.
 func (m *Machine) judgeProcess(j *judgement, known *fleetEntry, up *Upstream) {
@@ -288,6 +304,15 @@
 	}
 }
 
+// restartClaims lets the delays of the claims to an id begin anew.
+func (f *fleet) restartClaims(id string) {
+	for _, c := range f.claims {
+		if c.key.ID == id {
+			c.since = 0
+		}
+	}
+}
+
 // defend records that a process with the id of a member has announced itself at that
 // member's address, whichever of the processes with that id it is.
 func (m *Machine) defend(member *fleetEntry, up *Upstream) {
--- a/io/agatecontrol/contacts_test.go
+++ b/io/agatecontrol/contacts_test.go
@@ -51,9 +51,11 @@
 // acknowledged without being stored because the upstream has expired.
 func TestFinalAnnouncementOfExpiredUpstream(t *testing.T) {
 	expired := &agatestate.Upstream{ID: "u1", StartedAtMs: 5, Sequence: 9, Gone: true, Expired: true}
-	assert.Assert(t, canLeave(expired))
+	deregistration := &agatestate.Upstream{ID: "u1", StartedAtMs: 5, Gone: true}
+	assert.Assert(t, canLeave(expired, deregistration))
 	gone := &agatestate.Upstream{ID: "u1", StartedAtMs: 5, Sequence: 9, Gone: true}
-	assert.Assert(t, !canLeave(gone))
+	assert.Assert(t, !canLeave(gone, deregistration))
+	assert.Assert(t, canLeave(gone, &agatestate.Upstream{ID: "u1", StartedAtMs: 6, Gone: true}))
 }
 
 // Guards against upstreams that never expire because many others, of services that no plan
--- a/io/agatecontrol/fleet.go
+++ b/io/agatecontrol/fleet.go
@@ -78,7 +78,7 @@
 	known, ok := c.machine.Upstream(up.ID)
 	service := up.Service
 	if up.Gone {
-		if ok && !canLeave(&known) {
+		if ok && !canLeave(&known, &up) {
 			return nil
 		}
 		service = known.Service
@@ -136,8 +136,11 @@
 }
 
 // canLeave reports whether a deregistration changes the state of an upstream. One that has
-// expired may still deregister, so that hosts do not go on to use it.
-func canLeave(known *agatestate.Upstream) bool { return !known.Gone || known.Expired }
+// expired may still deregister, so that hosts do not go on to use it, and so may a later
+// process that was contested.
+func canLeave(known, up *agatestate.Upstream) bool {
+	return !known.Gone || known.Expired || up.StartedAtMs > known.StartedAtMs
+}
 
 // RefuseAnnouncement logs that an announcement has no effect, once for each writer and
 // reason. reason is one of a few fixed texts.
