agatestate: a deregistration before the first plan takes no room from upstreams that wait for it

Found by reading again: a remembered deregistration kept the bound of 4,096 also before the first plan, when a whole system may wait for it. One of an unknown id would have deleted all beyond that until their next heartbeats. Nobody has seen it.

The new section of testdata/departed.txt fails before (4,096 kept, 5,001 asked).

--- a/core/agatestate/fleet.go
+++ b/core/agatestate/fleet.go
@@ -255,7 +255,9 @@
 		return
 	}
 	f.restartClaims(up.ID)
-	f.trimUnlisted(maxUnlisted - 1)
+	if m.config.current.Revision > 0 { // before the first plan, all may be needed
+		f.trimUnlisted(maxUnlisted - 1)
+	}
 	if len(f.upstreams) >= MaxMembers {
 		return
 	}
