agatebalance: a host that refuses requests as late measures the upstreams again

Cause: the host had been suspended, and measured the time of the suspension as that of the upstreams; in a trial with a log line it expected 8.742 s after two responses, for a deadline of 0.9 s. As it refused all requests, no response corrected that. The same holds for upstreams that were slow, and for deadlines below the 240 ms that a host expects before its first response.

A response that arrives more than 0.5 s after its deadline is not measured. A request that only the expected lateness keeps from all upstreams is sent if no response of its class has been measured for 1 s, and the response replaces the averages.

TestSuspendedHostServes (8 of 12 cases), TestLateEstimateIsMeasuredAgain and TestLateRequestsAreRefused fail on the code before.

--- a/core/agatebalance/candidate.go
+++ b/core/agatebalance/candidate.go
@@ -88,7 +88,7 @@
 
 // estimate sets the expected latency of a candidate, whose position must be set.
 func (x *search) estimate(c *candidate) {
-	b := Basis{startedAtMs: c.u.info.StartedAtMs, affinityKey: x.r.AffinityKey, class: workOther}
+	b := Basis{startedAtMs: c.u.info.StartedAtMs, affinityKey: x.r.AffinityKey, class: workOther, deadline: x.r.Deadline}
 	switch {
 	case x.r.AffinityKey == 0:
 		b.class = workPlain
@@ -132,7 +132,7 @@
 	switch {
 	case c.u.paused(x.now):
 		x.pausedCount++
-	case x.now.Add(seconds(c.expectedSeconds)).After(x.r.Deadline):
+	case !c.basis.remeasures && x.now.Add(seconds(c.expectedSeconds)).After(x.r.Deadline):
 		x.lateCount++
 	case !idle && (c.load+1/c.u.slots() > maxLoadPerSlot || c.cachedSeconds > x.maxSeconds()):
 		x.countBusy(c)
--- a/core/agatebalance/choose.go
+++ b/core/agatebalance/choose.go
@@ -168,6 +168,9 @@
 	x.setUrgency()
 	x.collectCandidates()
 	c := x.choose()
+	if c == nil {
+		c = x.remeasure()
+	}
 	if c != nil && x.keepsRoom(c) {
 		x.countBusy(c)
 		c = nil
@@ -204,6 +207,29 @@
 	return c
 }
 
+// remeasure returns a candidate for a request that is rejected only because all
+// upstreams are expected to respond after its deadline, if no response confirms that.
+// A host that rejects all requests measures no response, and would not notice that the
+// upstreams have become faster.
+func (x *search) remeasure() *candidate {
+	if x.lateCount == 0 || x.busyCount+x.coldCount+x.limitedCount+x.pausedCount > 0 || x.retry() || !x.now.Before(x.r.Deadline) {
+		return nil
+	}
+	late := x.lateCount
+	for i := range x.candidates {
+		b := &x.candidates[i].basis
+		b.remeasures = x.s.work.outdated(x.now, b.class)
+	}
+	c := x.first(func(c *candidate) bool { return c.basis.remeasures && !(x.leavesHome(c) && x.overflowLimited()) })
+	if c == nil {
+		x.resetCounts()
+		x.lateCount = late
+		return nil
+	}
+	x.s.work.measuredAt[c.basis.class] = x.now
+	return c
+}
+
 // limitOverflow replaces the cheapest candidate by one in the home region, or nil, if
 // the share of requests that leave it would rise too fast.
 func (x *search) limitOverflow(c *candidate) *candidate {
--- a/core/agatebalance/estimate.go
+++ b/core/agatebalance/estimate.go
@@ -25,6 +25,13 @@
 	// minSlowness and maxSlowness bound the slowness that one response indicates.
 	minSlowness = 0.25
 	maxSlowness = 8.0
+	// maxLateness is the time after the deadline up to which a response is measured.
+	// Hosts wait 100 ms for a response that was on its way at the deadline.
+	maxLateness = 500 * time.Millisecond
+	// remeasureInterval is the time without a response after which a request is sent
+	// although it is expected to be late, see search.remeasure. The load on upstreams
+	// that are in fact too slow is one request per interval, host and class.
+	remeasureInterval = time.Second
 	// maxKnownObjects is the number of objects that a host remembers for each
 	// upstream.
 	maxKnownObjects = 256
@@ -50,6 +57,14 @@
 	// serviceSeconds and waitSeconds are the expected service time and the time in
 	// the upstream's queue, both for an upstream of normal speed.
 	serviceSeconds, waitSeconds float64
+	deadline                    time.Time // see Request.Deadline
+	remeasures                  bool      // see search.remeasure
+}
+
+// measures reports whether a response that arrives now tells the time of the upstream. One
+// that arrives long after the deadline is read only if this host did not run meanwhile.
+func (b *Basis) measures(now time.Time) bool {
+	return b.deadline.IsZero() || now.Sub(b.deadline) <= maxLateness
 }
 
 // StartedAtMs returns the start of the chosen upstream's process in Unix milliseconds.
@@ -64,6 +79,9 @@
 	// ratio is the natural logarithm of the ratio of response times to expected
 	// ones, averaged over all upstreams.
 	ratio ewma
+	// measuredAt is when a response of each class was last measured, or a request
+	// was last sent to do so.
+	measuredAt [numWorkClasses]time.Time
 }
 
 // seconds is the expected service time of a class. Classes without responses are
@@ -107,14 +125,25 @@
 	return min(max(0, (w.meanSeconds()-hit)/(miss-hit)), 1)
 }
 
+// outdated reports whether no response of a class has been measured lately.
+func (w *workTimes) outdated(now time.Time, class workClass) bool {
+	return now.Sub(w.measuredAt[class]) >= remeasureInterval
+}
+
 // add adds a response. Its service time is the part of the response time that was
-// expected to be service, so that a busy upstream yields a sample too.
-func (w *workTimes) add(b *Basis, responseSeconds, slowness float64) {
+// expected to be service, so that a busy upstream yields a sample too. The response to a
+// request that remeasures replaces the estimates that it has shown to be out of date.
+func (w *workTimes) add(now time.Time, b *Basis, responseSeconds, slowness float64) {
 	part := b.serviceSeconds / (b.serviceSeconds + b.waitSeconds)
 	sample := max(minServiceSeconds, responseSeconds/slowness*part)
+	if b.remeasures {
+		w.classes[b.class], w.mean = ewma{}, ewma{}
+	} else {
+		w.ratio.add(logRatio(b, responseSeconds), serviceTimeWindow)
+	}
 	w.classes[b.class].add(sample, serviceTimeWindow)
 	w.mean.add(sample, serviceTimeWindow)
-	w.ratio.add(logRatio(b, responseSeconds), serviceTimeWindow)
+	w.measuredAt[b.class] = now
 }
 
 // logRatio is the bounded logarithm of the ratio of a response time to the expected
--- a/core/agatebalance/finish.go
+++ b/core/agatebalance/finish.go
@@ -132,8 +132,9 @@
 		c.Leaving = t.recordLeaving(now, u, &o)
 	}
 	u.inFlight = max(0, u.inFlight-1)
-	if o.RTT > 0 {
-		u.rtt.add(o.RTT.Seconds(), latencyWindow)
+	measured := o.Basis.measures(now)
+	if measured {
+		u.recordRTT(&o)
 	}
 	if o.Reported {
 		u.recordLoad(now, o.Running+o.Waiting)
@@ -155,7 +156,10 @@
 	switch o.Outcome {
 	case Answered:
 		u.recordSuccess()
-		t.recordLatency(now, u, &o)
+		u.lastAnsweredAt = now
+		if measured {
+			t.recordLatency(now, u, &o)
+		}
 	case Shed:
 		if !o.Reported {
 			u.otherLoad.mean = max(u.otherLoad.mean, u.slots()*maxLoadPerSlot-float64(u.inFlight))
@@ -180,10 +184,24 @@
 	}
 }
 
+// recordRTT updates the round-trip time with the one of the attempt's connection. A
+// response that took less time shows that the connection was opened more slowly.
+func (u *upstream) recordRTT(o *Observation) {
+	rtt := o.RTT
+	if o.Outcome == Answered {
+		rtt = min(rtt, o.Latency)
+		if o.Basis.remeasures {
+			u.rtt = ewma{}
+		}
+	}
+	if rtt > 0 {
+		u.rtt.add(rtt.Seconds(), latencyWindow)
+	}
+}
+
 // recordLatency updates the latency and the service times with a response.
 func (t *Table) recordLatency(now time.Time, u *upstream, o *Observation) {
 	u.latency.add(o.Latency.Seconds(), latencyWindow)
-	u.lastAnsweredAt = now
 	b := &o.Basis
 	if b.serviceSeconds <= 0 {
 		return
@@ -191,10 +209,15 @@
 	seconds := max(minServiceSeconds, o.Latency.Seconds()-u.rttSeconds())
 	s := t.service(u.info.Service)
 	work := &s.work
+	if b.remeasures {
+		u.slowness = slowness{}
+	}
 	slowness := u.slowness.value(now, work)
 	s.hedging.record(work, o, seconds/slowness)
-	work.add(b, seconds, slowness)
-	u.slowness.add(now, b, seconds)
+	work.add(now, b, seconds, slowness)
+	if !b.remeasures {
+		u.slowness.add(now, b, seconds)
+	}
 	if b.affinityKey != 0 {
 		u.known.add(b.affinityKey)
 	}
