agateroute: a host that refuses requests as late measures the group again

If no response of a group has been measured for 1 s, one request is sent although it is expected to be late, and its response replaces the averages of the group.

The section late-is-measured-again of admit.txtar fails on the code before: refused after 1.1 s, and for good. No run with real processes.

--- a/core/agateroute/announce.go
+++ b/core/agateroute/announce.go
@@ -148,7 +148,7 @@
 // reset clears the measurements of the previous incarnation. Requests in flight
 // stay counted until they finish.
 func (u *upstream) reset(a Announcement) {
-	u.latency = ewma{}
+	u.latency, u.remeasures = ewma{}, false
 	if u.group != nil {
 		u.clearFailures()
 	}
--- a/core/agateroute/choose.go
+++ b/core/agateroute/choose.go
@@ -49,6 +49,10 @@
 	// treated like the others again.
 	slownessDecay = 2 * time.Second
 
+	// remeasureInterval is the time without a response from a group after which a
+	// request is sent although it is expected to be late, see Table.remeasure.
+	remeasureInterval = time.Second
+
 	// initialRTT is the assumed round-trip time to another region before the
 	// first response from it.
 	initialRTT = 40 * time.Millisecond
@@ -162,20 +166,39 @@
 		if d, ok := t.enqueueForGrant(now, home, r); ok {
 			return d
 		}
+		if d, ok := t.remeasure(now, home, r, sel); ok {
+			return d
+		}
 	}
 	return t.refuse(now, home, r, sel)
 }
 
+// remeasure sends a request that would be refused as late, if no response has confirmed
+// the latency of the group lately. An entry host that refuses all requests measures no
+// latency, and would not notice that the upstreams have become faster.
+func (t *Table) remeasure(now time.Time, g *group, r *Request, sel selection) (Decision, bool) {
+	if sel.best == nil || now.Sub(g.measuredAt) < remeasureInterval {
+		return Decision{}, false
+	}
+	g.measuredAt = now
+	sel.best.remeasures = true
+	return g.send(r, sel, ReasonBest), true
+}
+
 // trySend returns a Send decision if the selection has an upstream that is
 // expected to respond before the deadline.
 func (t *Table) trySend(now time.Time, g *group, r *Request, sel selection, reason Reason) (Decision, bool) {
 	if sel.best == nil {
 		return Decision{}, false
 	}
-	expected := g.expectedLatency(sel.best, sel.inFlight)
-	if expected > r.Deadline.Sub(now) {
+	if g.expectedLatency(sel.best, sel.inFlight) > r.Deadline.Sub(now) {
 		return Decision{}, false
 	}
+	return g.send(r, sel, reason), true
+}
+
+// send returns a Send decision for the best upstream of a selection.
+func (g *group) send(r *Request, sel selection, reason Reason) Decision {
 	if r.Pinned != "" {
 		reason = ReasonPinned
 	}
@@ -191,8 +214,8 @@
 		Reason:          reason,
 		Considered:      sel.considered,
 		Candidates:      sel.candidates(g),
-		ExpectedLatency: expected,
-	}, true
+		ExpectedLatency: g.expectedLatency(sel.best, sel.inFlight),
+	}
 }
 
 // refuse returns a Refuse decision with the reason that no upstream was chosen.
--- a/core/agateroute/finish.go
+++ b/core/agateroute/finish.go
@@ -79,6 +79,10 @@
 	u.lastResponse = now
 	u.clearFailures()
 	g.failures = 0
+	g.measuredAt = now
+	if u.remeasures {
+		g.resetLatency()
+	}
 	seconds := obs.Latency.Seconds()
 	// At an upstream with more requests than slots, requests queue. The latency
 	// without queueing is shorter by that ratio, apart from the round trip.
@@ -99,6 +103,14 @@
 	t.ejectIfSlow(now, u)
 }
 
+// resetLatency clears the latencies of a group and of its upstreams.
+func (g *group) resetLatency() {
+	g.latency = newLatency()
+	for _, u := range g.upstreams {
+		u.latency, u.remeasures = ewma{}, false
+	}
+}
+
 // recordFailure updates the state of an upstream and its group after a failed
 // attempt. A timeout counts only if the upstream has answered no request since
 // this one was sent. Otherwise the upstream is alive, and the request queued for
--- a/core/agateroute/group.go
+++ b/core/agateroute/group.go
@@ -46,7 +46,8 @@
 	peerQueued           int     // requests in the queues of other entry hosts
 	slots                float64 // sum over usable upstreams
 	latency              latency
-	rtt                  ewma // seconds
+	measuredAt           time.Time // of the last response, or of the last request that remeasure sent
+	rtt                  ewma      // seconds
 	queue                queue
 	grantQueue           grantQueue
 	demand               rate
--- a/core/agateroute/upstream.go
+++ b/core/agateroute/upstream.go
@@ -55,6 +55,7 @@
 
 	latency      ewma // seconds per request, without the estimated queueing
 	lastResponse time.Time
+	remeasures   bool // the first response replaces the latencies of the group, see Table.remeasure
 
 	ramp         ramp
 	ejection     ejection
