--- a/core/agatebalance/hedge_test.go
+++ b/core/agatebalance/hedge_test.go
@@ -24,6 +24,7 @@
 // Guards against requests that wait for the first run of an object although a second
 // one is answered sooner.
 func TestHedgesOvertakeFirstRuns(t *testing.T) {
+	t.Parallel()
 	// Few hosts have few requests, of which more runs give a mean.
 	runs := map[int]int{3: 32, 21: 8, 96: 2, 300: 1}
 	for _, hosts := range []int{3, 21, 96, 300} {
--- a/core/agatebalance/order_test.go
+++ b/core/agatebalance/order_test.go
@@ -91,6 +91,7 @@
 // Guards against objects that move although neither their old nor their new upstream has
 // been added, removed or replaced, and against orders that depend on that of events.
 func TestFewObjectsMove(t *testing.T) {
+	t.Parallel()
 	const n = 100
 	list := fleetOf(n)
 	before := firstOf(orderTable(list), orderObjects)
--- a/core/agatebalance/policy_test.go
+++ b/core/agatebalance/policy_test.go
@@ -82,6 +82,7 @@
 // Guards against congestion collapse: requests that fall back from full upstreams
 // to ones without the object cached take longer there and fill these in turn.
 func TestPolicyServesUnderLoad(t *testing.T) {
+	t.Parallel()
 	for _, c := range policyCases {
 		t.Run(c.workload.name, func(t *testing.T) {
 			got := simulateTable(c.workload)
@@ -138,6 +139,7 @@
 // Guards against a policy that serves all workloads together worse than the simple
 // baseline, which knows only the requests in flight of its own host.
 func TestPolicyBeatsBaseline(t *testing.T) {
+	t.Parallel()
 	baselines := []struct{ remoteCost, affinityCost, maxLoad float64 }{{20, 0, 1}, {3, 6, 1}, {3, 12, 1}, {4, 12, 1.5}, {3, 24, 1}, {0.5, 6, 1}}
 	sum := 0.0
 	policyCases := slices.DeleteFunc(slices.Clone(policyCases), func(c policyCase) bool { return c.workload.hosts > baseWorkload.hosts })
@@ -175,6 +177,7 @@
 // Guards against hosts that keep sending requests to overloaded upstreams because each
 // of many hosts gets few reports of an upstream's load.
 func TestPolicyServesAtEverySize(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{3, 21, 96, 300} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			got := simulate(hotObjects(hosts), seed, newTablePolicy)
--- a/core/agatebalance/regions_test.go
+++ b/core/agatebalance/regions_test.go
@@ -16,6 +16,7 @@
 // region has upstreams enough to even out how its objects fall to them. With few of
 // them, a part of the objects has its first upstream elsewhere.
 func TestLocalShareGrowsWithUpstreams(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		perRegion          int
 		minShare, maxShare float64
