agatefront: crashes of an upstream that starts again under its id count as two

Cause: a report of a crash had the id of the upstream without the start of its process, so the control group and the other hosts took the second crash for a report of the first. And a refused request came back every 30 s, however often it had crashed.

Reports carry the start time. Each crash after the first two doubles the time for which the request is refused, up to 8 min; an answer or a clearing ends it.

--- a/core/agatesuspect/tracker.go
+++ b/core/agatesuspect/tracker.go
@@ -19,6 +19,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -137,6 +138,11 @@
 	}
 }
 
+// InFlight returns the fingerprints in flight at an upstream, in no order.
+func (t *Tracker) InFlight(upstream string) []Fingerprint {
+	return slices.Collect(maps.Keys(t.inFlight[upstream]))
+}
+
 // UpstreamDied records the end of an upstream's process. It counts one death for
 // each fingerprint in flight at that upstream and returns these fingerprints in
 // ascending order. Another call returns only those started since.
--- a/io/agatefront/hedge.go
+++ b/io/agatefront/hedge.go
@@ -148,7 +148,8 @@
 // run sends the request and records the result.
 func (a *attempt) run(ctx context.Context) agateupstream.Result {
 	p, f := a.p, a.p.f
-	done := f.suspects.start(p.fingerprint, a.d.Upstream)
+	process := upstreamProcess{a.d.Upstream, a.d.Basis.StartedAtMs()}
+	done := f.suspects.start(p.fingerprint, process)
 	defer done()
 	call := p.call(a.d)
 	call.Connected = a.recordConnection
@@ -179,7 +180,7 @@
 	f.mu.Unlock()
 	f.logDomains(p.id, domainChanges)
 	if res.UpstreamDied && f.linksIntact(failedAt) {
-		f.reportCrash(a.d.Upstream)
+		f.reportCrash(process)
 	}
 	if changes.Leaving {
 		p.logLeaving(a.d.Upstream)
--- a/io/agatefront/suspects.go
+++ b/io/agatefront/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -18,15 +19,30 @@
 	// maxFingerprints limits the size of each map of fingerprints. A full map is
 	// cleared.
 	maxFingerprints = 32768
-	// refusalPeriod is how long a request is refused after the last crash
+	// refusalPeriod is how long a request is refused after the second crash
 	// attributed to it. It is limited because a request that was in flight
-	// during two unrelated crashes must not be refused for ever.
-	refusalPeriod = 30 * time.Second
+	// during two unrelated crashes must not be refused for ever. Each further crash
+	// doubles it, up to maxRefusalDoublings times, so that a request that crashes
+	// every upstream reaches five of them in ten minutes.
+	refusalPeriod       = 30 * time.Second
+	maxRefusalDoublings = 4
 	// clearInterval is the minimum time between two commands that clear the
 	// same suspect.
 	clearInterval = 2 * time.Second
 )
 
+// upstreamProcess is a process of an upstream. An upstream that starts again under its id
+// is another process, and a second crash is no repeated report of the first one.
+type upstreamProcess struct {
+	upstream    string
+	startedAtMs int64 // 0 if it is not known
+}
+
+// name returns a name for the tracker.
+func (p upstreamProcess) name() string {
+	return p.upstream + "@" + strconv.FormatInt(p.startedAtMs, 10)
+}
+
 // suspects tracks requests that may crash upstreams. It is safe for concurrent
 // use.
 type suspects struct {
@@ -35,20 +51,36 @@
 	// answered holds requests that an upstream has answered, which are
 	// harmless.
 	answered map[agatesuspect.Fingerprint]struct{}
-	// lastCrash is when this host last learned of a crash attributed to a
-	// request, and lastCleared when it last asked the control group to clear it.
-	lastCrash   map[agatesuspect.Fingerprint]time.Time
+	crashes  map[agatesuspect.Fingerprint]crashes
+	// lastCleared is when this host last asked the control group to clear a request.
 	lastCleared map[agatesuspect.Fingerprint]time.Time
 	// harmless holds the suspects of the control group that an upstream has answered,
 	// until the group has cleared them.
 	harmless map[agatesuspect.Fingerprint]struct{}
 }
 
+// crashes is what a host knows of the crashes attributed to a request.
+type crashes struct {
+	at time.Time // when this host learned of the last one
+	// index is that of the newest record of the control group, and refused whether it
+	// has two crashes, its maximum.
+	index   uint64
+	refused bool
+	// own and reported count the crashes beyond the first two, as seen by this host and
+	// by the control group. Both may count the same ones.
+	own, reported int
+}
+
+// refusal returns how long a request is refused after the last crash.
+func (c crashes) refusal() time.Duration {
+	return refusalPeriod << min(max(c.own, c.reported), maxRefusalDoublings)
+}
+
 func newSuspects() *suspects {
 	return &suspects{
 		tracker:     agatesuspect.New(agatesuspect.Config{}),
 		answered:    make(map[agatesuspect.Fingerprint]struct{}),
-		lastCrash:   make(map[agatesuspect.Fingerprint]time.Time),
+		crashes:     make(map[agatesuspect.Fingerprint]crashes),
 		lastCleared: make(map[agatesuspect.Fingerprint]time.Time),
 		harmless:    make(map[agatesuspect.Fingerprint]struct{}),
 	}
@@ -62,26 +94,29 @@
 	if _, harmless := s.answered[p]; harmless || s.tracker.Check(p) != agatesuspect.Refused {
 		return 0
 	}
-	return max(0, s.lastCrash[p].Add(refusalPeriod).Sub(now))
+	c := s.crashes[p]
+	return max(0, c.at.Add(c.refusal()).Sub(now))
 }
 
-// setLastCrashLocked records when this host learned of a crash. mu must be held.
-func (s *suspects) setLastCrashLocked(now time.Time, p agatesuspect.Fingerprint) {
-	if len(s.lastCrash) >= maxFingerprints {
-		clear(s.lastCrash)
+// setCrashesLocked records what this host knows of the crashes of a request. mu must be
+// held.
+func (s *suspects) setCrashesLocked(p agatesuspect.Fingerprint, c crashes) {
+	if len(s.crashes) >= maxFingerprints {
+		clear(s.crashes)
 	}
-	s.lastCrash[p] = now
+	s.crashes[p] = c
 }
 
 // start records that a request is in flight at an upstream until done is called.
-func (s *suspects) start(p agatesuspect.Fingerprint, upstream string) (done func()) {
+func (s *suspects) start(p agatesuspect.Fingerprint, process upstreamProcess) (done func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.Start(p, upstream)
+	name := process.name()
+	s.tracker.Start(p, name)
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.tracker.Finish(p, upstream)
+		s.tracker.Finish(p, name)
 	}
 }
 
@@ -93,19 +128,30 @@
 		clear(s.answered)
 	}
 	s.answered[p] = struct{}{}
+	delete(s.crashes, p)
 }
 
 // recordCrash records that an upstream crashed. It returns the requests in flight
 // at it that no upstream has answered before.
-func (s *suspects) recordCrash(now time.Time, upstream string) []agatesuspect.Fingerprint {
+func (s *suspects) recordCrash(now time.Time, process upstreamProcess) []agatesuspect.Fingerprint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fingerprints := slices.DeleteFunc(s.tracker.UpstreamDied(upstream), func(p agatesuspect.Fingerprint) bool {
+	name := process.name()
+	refused := map[agatesuspect.Fingerprint]bool{} // before this crash
+	for _, p := range s.tracker.InFlight(name) {
+		refused[p] = s.tracker.Check(p) == agatesuspect.Refused
+	}
+	fingerprints := slices.DeleteFunc(s.tracker.UpstreamDied(name), func(p agatesuspect.Fingerprint) bool {
 		_, harmless := s.answered[p]
 		return harmless
 	})
 	for _, p := range fingerprints {
-		s.setLastCrashLocked(now, p)
+		c := s.crashes[p]
+		c.at = now
+		if refused[p] {
+			c.own++
+		}
+		s.setCrashesLocked(p, c)
 	}
 	return fingerprints
 }
@@ -135,9 +181,16 @@
 func (s *suspects) mergeLocked(now time.Time, r agatesuspect.Record) {
 	if r.Deaths == 0 {
 		delete(s.harmless, r.Fingerprint)
+		delete(s.crashes, r.Fingerprint)
 		return
 	}
-	s.setLastCrashLocked(now, r.Fingerprint)
+	if c := s.crashes[r.Fingerprint]; r.Index > c.index { // else it is sent once more
+		if r.Deaths > 1 && c.refused {
+			c.reported++
+		}
+		c.at, c.index, c.refused = now, r.Index, r.Deaths > 1
+		s.setCrashesLocked(r.Fingerprint, c)
+	}
 	_, answered := s.answered[r.Fingerprint]
 	if !answered || r.Index <= s.tracker.Index() {
 		return // an old record may have been cleared since
@@ -175,17 +228,22 @@
 
 // reportCrash reports the requests that were in flight at a crashed upstream to
 // the control group.
-func (f *Front) reportCrash(upstream string) {
-	fingerprints := f.suspects.recordCrash(time.Now(), upstream)
+func (f *Front) reportCrash(process upstreamProcess) {
+	fingerprints := f.suspects.recordCrash(time.Now(), process)
 	if len(fingerprints) == 0 {
 		return
 	}
-	death := &agatestate.Death{Host: f.cfg.Name, Upstream: upstream}
+	f.log.Warn("upstream died", "kind", "suspect", "choice", process.upstream, "born", process.startedAtMs, "prints", len(fingerprints), "first", fingerprints[0])
+	f.submit(agatestate.Command{Death: newDeath(f.cfg.Name, process, fingerprints)})
+}
+
+// newDeath returns the report of a crash.
+func newDeath(host string, process upstreamProcess, fingerprints []agatesuspect.Fingerprint) *agatestate.Death {
+	death := &agatestate.Death{Host: host, Upstream: process.upstream, Incarnation: uint64(process.startedAtMs)}
 	for _, p := range fingerprints {
 		death.Fingerprints = append(death.Fingerprints, agateclient.ToStateFingerprint(p))
 	}
-	f.log.Warn("upstream died", "kind", "suspect", "choice", upstream, "prints", len(fingerprints), "first", fingerprints[0])
-	f.submit(agatestate.Command{Death: death})
+	return death
 }
 
 // clearSuspects has the control group clear suspects that an upstream has
--- a/io/agatefront/suspects_test.go
+++ b/io/agatefront/suspects_test.go
@@ -1,12 +1,15 @@
 package agatefront
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"agategate/core/agatestate"
 	"agategate/core/agatesuspect"
+	"agategate/io/agateclient"
 	"agategate/io/agatewire"
 )
 
@@ -71,15 +74,103 @@
 	p := fingerprint(2)
 	s := newSuspects()
 	for _, upstream := range []string{"u1", "u2"} {
-		s.start(p, upstream)
-		assert.Equal(t, len(s.recordCrash(now, upstream)), 1)
+		crash(t, s, now, p, upstreamProcess{upstream, 1})
 	}
 	after := s.refusedFor(now.Add(10*time.Second), p)
 	assert.Equal(t, after, refusalPeriod-10*time.Second)
 	assert.Equal(t, s.refusedFor(now.Add(10*time.Second+after), p), time.Duration(0))
 	// The next crash starts a new refusal period.
 	later := now.Add(refusalPeriod + time.Second)
-	s.start(p, "u3")
-	s.recordCrash(later, "u3")
-	assert.Equal(t, s.refusedFor(later, p), refusalPeriod)
+	crash(t, s, later, p, upstreamProcess{"u3", 1})
+	assert.Equal(t, s.refusedFor(later, p), 2*refusalPeriod)
+}
+
+// crash plays a request that an upstream's process crashes on.
+func crash(t *testing.T, s *suspects, now time.Time, p agatesuspect.Fingerprint, process upstreamProcess) {
+	t.Helper()
+	s.start(p, process)
+	assert.DeepEqual(t, s.recordCrash(now, process), []agatesuspect.Fingerprint{p})
+}
+
+// crashGroup is a control group and the hosts that it tells of crashes.
+type crashGroup struct {
+	machine *agatestate.Machine
+	index   uint64
+	hosts   []*suspects
+}
+
+func newCrashGroup(hosts int) *crashGroup {
+	g := &crashGroup{machine: agatestate.New(agatestate.Config{})}
+	for range hosts {
+		g.hosts = append(g.hosts, newSuspects())
+	}
+	return g
+}
+
+// report applies the report of a host and tells all hosts, two times.
+func (g *crashGroup) report(now time.Time, process upstreamProcess, list []agatesuspect.Fingerprint) {
+	g.index++
+	g.machine.Apply(g.index, agatestate.Encode(agatestate.Command{Now: now.UnixMilli(), Death: newDeath("entry-1", process, list)}))
+	for _, s := range g.hosts {
+		for range 2 {
+			d := g.machine.SuspectsSince(0)
+			s.merge(now, &agatewire.WatchReply{Index: d.Index, Full: d.Full, Suspects: agateclient.ToWireSuspects(d.Suspects)})
+		}
+	}
+}
+
+// Guards against a request that crashes one upstream again and again, as each second crash
+// of an upstream that starts again under its id looks like another report of the first
+// one, and as nothing makes hosts refuse the request for longer (review/5).
+func TestCrashesOfRestartedUpstream(t *testing.T) {
+	const contact, hosts = 3 * time.Second, 4
+	begin, p := time.Unix(1000, 0), fingerprint(2)
+	g := newCrashGroup(hosts)
+	var crashed []time.Duration
+	for now := time.Duration(0); now < 10*time.Minute; now += 5600 * time.Millisecond { // the caller sends it again
+		s := g.hosts[int(now/(5600*time.Millisecond))%hosts]
+		if s.refusedFor(begin.Add(now), p) > 0 {
+			continue
+		}
+		process := upstreamProcess{"u1", now.Milliseconds() + 1}
+		crash(t, s, begin.Add(now), p, process)
+		crashed = append(crashed, now)
+		g.report(begin.Add(now), process, []agatesuspect.Fingerprint{p})
+	}
+	late := 0
+	for _, at := range crashed {
+		if len(crashed) > 2 && at > crashed[2]+contact {
+			late++
+		}
+	}
+	assert.Check(t, late <= 3, "%d retries reached the upstream after it had crashed three times: at %v", late, crashed)
+}
+
+// Guards against a harmless request that is refused for longer than one period, because it
+// was in flight when several upstreams ended for other reasons.
+func TestUnrelatedCrashes(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		begin, p := time.Unix(1000, 0), fingerprint(2)
+		g := newCrashGroup(3)
+		refusedSince := time.Duration(-1)
+		for now := time.Duration(0); now < 10*time.Minute; now += 500 * time.Millisecond {
+			at, s := begin.Add(now), g.hosts[rng.IntN(3)]
+			if s.refusedFor(at, p) > 0 {
+				if refusedSince < 0 {
+					refusedSince = now
+				}
+				assert.Assert(t, now-refusedSince <= refusalPeriod, "seed %d: refused from %v to %v", seed, refusedSince, now)
+				continue
+			}
+			refusedSince = -1
+			process := upstreamProcess{"u1", now.Milliseconds() + 1}
+			if rng.IntN(20) == 0 {
+				s.start(p, process)
+				g.report(at, process, s.recordCrash(at, process))
+				continue
+			}
+			s.recordAnswer(p)
+		}
+	}
 }
